Add workspace, kernel and design page

Starts the project: workspace of packages, formatter and linter in Standard style, type check with project references, the plugin kernel with tasks, timers, logs, metrics, traces and settings, and the design page.

--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,48 @@
+import neostandard from 'neostandard'
+
+// Each package may import only those before it in this list.
+const packageOrder = ['kernel', 'policy', 'protocol', 'platform', 'endpoint', 'admin', 'router', 'cli']
+const standinsMayImport = ['kernel']
+
+function forbiddenImports (name) {
+  const allowed = name === 'standins' ? standinsMayImport : packageOrder.slice(0, packageOrder.indexOf(name))
+  const withoutEndpoint = name === 'endpoint' ? allowed : allowed.filter(other => other !== 'endpoint')
+  const forbidden = [...packageOrder, 'standins', 'bench'].filter(other => !withoutEndpoint.includes(other))
+  return forbidden.filter(other => other !== name).map(other => `@buckthorndrift/${other}`)
+}
+
+function importRule (name) {
+  return {
+    files: [`packages/${name}/src/**/*.ts`],
+    ignores: ['**/__tests__/**'],
+    rules: {
+      'no-restricted-imports': ['error', {
+        paths: forbiddenImports(name).map(path => ({ name: path, message: 'Imports go from later packages to earlier ones.' })),
+        patterns: [{ group: ['@buckthorndrift/*/*'], message: 'Import a package by its index.' }]
+      }]
+    }
+  }
+}
+
+const sharedCodeRule = {
+  files: ['packages/*/src/shared/**/*.ts'],
+  ignores: ['**/__tests__/**'],
+  rules: {
+    'no-restricted-globals': ['error', 'Date', 'setTimeout', 'setInterval', 'process', 'fetch'],
+    'no-restricted-syntax': ['error', {
+      selector: "MemberExpression[object.name='Math'][property.name='random']",
+      message: 'Shared code takes its random numbers as an argument.'
+    }]
+  }
+}
+
+export default [
+  ...neostandard({ ts: true, ignores: ['**/dist/**', '**/node_modules/**'] }),
+  {
+    rules: {
+      'max-lines': ['error', { max: 350 }],
+    }
+  },
+  ...[...packageOrder, 'standins'].map(importRule),
+  sharedCodeRule
+]
--- /dev/null
+++ b/packages/kernel/src/node/statsdMetrics.ts
@@ -0,0 +1,28 @@
+/** Metrics sent to a StatsD agent by hot-shots. */
+import { StatsD } from 'hot-shots'
+import type { Metrics } from '../shared/metrics.ts'
+
+export interface StatsdOptions {
+  readonly host: string
+  readonly port: number
+  readonly tags: Readonly<Record<string, string>>
+}
+
+/** Opens the StatsD client. Send errors are dropped: metrics never fail a request. */
+export function createStatsdMetrics (options: StatsdOptions): Metrics {
+  const client = new StatsD({
+    host: options.host,
+    port: options.port,
+    prefix: 'buckthorndrift.',
+    globalTags: { ...options.tags },
+    maxBufferSize: 1400,
+    bufferFlushInterval: 1000,
+    errorHandler: () => {}
+  })
+  return {
+    increment: (name, value = 1, tags = {}) => { client.increment(name, value, { ...tags }) },
+    gauge: (name, value, tags = {}) => { client.gauge(name, value, { ...tags }) },
+    timing: (name, durationMs, tags = {}) => { client.timing(name, durationMs, { ...tags }) },
+    close: () => new Promise(resolve => { client.close(() => { resolve() }) })
+  }
+}
--- /dev/null
+++ b/packages/kernel/src/shared/kernel.ts
@@ -0,0 +1,74 @@
+/** The kernel: sets plug-ins up in order and stops them in reverse order. */
+import type { Log } from './log.ts'
+import type { Metrics } from './metrics.ts'
+import type { Plugin, PluginContext, PluginHooks, ServiceKey } from './plugin.ts'
+import type { TimerService } from './timers.ts'
+
+export interface KernelOptions {
+  readonly timers: TimerService
+  readonly log: Log
+  readonly metrics: Metrics
+  readonly plugins: readonly Plugin[]
+}
+
+export interface Kernel {
+  /** Service offered by a plug-in. Throws when there is none. */
+  use<Service> (key: ServiceKey<Service>): Service
+  /** Graceful shutdown: drains, then closes. Later calls return the same promise. */
+  stop (): Promise<void>
+}
+
+/** Sets up all plug-ins, then makes them ready. A plug-in that throws closes those before it. */
+export async function startKernel (options: KernelOptions): Promise<Kernel> {
+  const services = new Map<string, unknown>()
+  const started: PluginHooks[] = []
+  let stopping: Promise<void> | undefined
+
+  function use<Service> (key: ServiceKey<Service>): Service {
+    if (!services.has(key.name)) throw new Error(`no plug-in provides ${key.name}`)
+    return services.get(key.name) as Service
+  }
+
+  function contextFor (plugin: Plugin): PluginContext {
+    return {
+      timers: options.timers,
+      log: options.log.scope(plugin.name),
+      metrics: options.metrics,
+      use,
+      provide (key, service) {
+        if (services.has(key.name)) throw new Error(`${key.name} is provided twice`)
+        services.set(key.name, service)
+      }
+    }
+  }
+
+  async function closeAll (): Promise<void> {
+    for (const hooks of started.toReversed()) await hooks.close?.()
+  }
+
+  async function stop (): Promise<void> {
+    options.log.event('processDraining')
+    for (const hooks of started.toReversed()) await hooks.drain?.()
+    await closeAll()
+    options.log.event('processStopped')
+    await options.metrics.close()
+  }
+
+  try {
+    for (const plugin of options.plugins) {
+      started.push(await plugin.setup(contextFor(plugin)) ?? {})
+    }
+    for (const hooks of started) await hooks.ready?.()
+  } catch (error) {
+    await closeAll()
+    throw error
+  }
+  options.log.event('processStarted')
+  return {
+    use,
+    stop () {
+      stopping ??= stop()
+      return stopping
+    }
+  }
+}
--- /dev/null
+++ b/vitest.config.ts
@@ -0,0 +1,14 @@
+import { defineConfig } from 'vitest/config'
+
+const conditions = ['source', 'module', 'node', 'import', 'default']
+
+export default defineConfig({
+  resolve: { conditions },
+  ssr: { resolve: { conditions, externalConditions: ['node', 'import', 'default'] } },
+  test: {
+    include: ['packages/*/src/**/__tests__/**/*.test.ts', 'playground/src/**/__tests__/**/*.test.ts'],
+    pool: 'forks',
+    testTimeout: 60_000,
+    hookTimeout: 60_000
+  }
+})
