--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -1,1 +1,2 @@
-export {}
+/** Decision logic of the fleet, without sockets, clocks or processes. */
+export * from './shared/verdict/index.ts'
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -1,6 +1,6 @@
 import { defineConfig } from 'vitest/config'
 
-const conditions = ['source', 'module', 'node', 'import', 'default']
+const conditions = ['source', 'node', 'import', 'default']
 
 export default defineConfig({
   resolve: { conditions },
