--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -1,2 +1,3 @@
 /** Decision logic of the fleet, without sockets, clocks or processes. */
 export * from './shared/verdict/index.ts'
+export * from './shared/fleet/index.ts'
