Write billing records and refusal accounts

Cause: every refusal has to be accounted for afterwards and every request is billed once, also when a router, its reply from the platform, or the platform itself is lost.

Refusals of one second with the same cause share one account with a count, so a flood costs one entry a second; each refusal keeps its own id. Ruled out: one object per refusal, which exceeds the platform's write rate in a flood.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -28,11 +28,12 @@
   files: ['packages/*/src/shared/**/*.ts'],
   ignores: ['**/__tests__/**'],
   rules: {
-    'no-restricted-globals': ['error', 'Date', 'setTimeout', 'setInterval', 'process', 'fetch'],
-    'no-restricted-syntax': ['error', {
-      selector: "MemberExpression[object.name='Math'][property.name='random']",
-      message: 'Shared code takes its random numbers as an argument.'
-    }]
+    'no-restricted-globals': ['error', 'setTimeout', 'setInterval', 'process', 'fetch'],
+    'no-restricted-syntax': ['error',
+      { selector: "MemberExpression[object.name='Math'][property.name='random']", message: 'Shared code takes its random numbers as an argument.' },
+      { selector: "MemberExpression[object.name='Date'][property.name='now']", message: 'Shared code takes the time as an argument.' },
+      { selector: "NewExpression[callee.name='Date'][arguments.length=0]", message: 'Shared code takes the time as an argument.' }
+    ]
   }
 }
 
@@ -41,6 +42,7 @@
   {
     rules: {
       'max-lines': ['error', { max: 350 }],
+      'no-void': ['error', { allowAsStatement: true }],
     }
   },
   ...[...packageOrder, 'standins'].map(importRule),
--- /dev/null
+++ b/packages/platform/src/shared/records/index.ts
@@ -0,0 +1,1 @@
+export { billingBatchSchema, readBilling, readRefusals, recordObjectName, refusalBatchSchema, type RecordKind, type RecordRange } from './recordObjects.ts'
--- a/packages/protocol/src/shared/records.ts
+++ b/packages/protocol/src/shared/records.ts
@@ -22,7 +22,9 @@
 
 /** All refusals of one second with the same cause at one router. A refusal's id is `<accountId>.<n>`, n from 1 to `count`. */
 export const refusalAccountSchema = z.object({
+  /** `<writer>.<number>`; numbers increase per writer. */
   accountId: z.string(),
+  number: z.number().int().nonnegative(),
   organisation: z.string(),
   budget: z.string(),
   service: z.string(),
--- a/packages/protocol/src/shared/routerControl.ts
+++ b/packages/protocol/src/shared/routerControl.ts
@@ -55,7 +55,10 @@
 
 /** Copies refusal accounts to a peer; a higher count replaces a lower one of the same account. */
 export const replicateAccountsInput = z.object({
+  /** Router and incarnation that counts the accounts. */
   writer: z.string(),
+  /** Accounts with a lower number are stored in the platform; copies of them can be dropped. */
+  storedBelow: z.number().int().nonnegative(),
   accounts: z.array(refusalAccountSchema).max(5000).readonly()
 }).readonly()
 export type ReplicateAccountsInput = z.infer<typeof replicateAccountsInput>
--- /dev/null
+++ b/packages/router/src/node/records/recordWriter.ts
@@ -0,0 +1,69 @@
+/** Writes billing records and refusal accounts to the platform. */
+import type { Log, TimerService } from '@buckthorndrift/kernel'
+import { RecordBuffer, type RecordBatch } from '@buckthorndrift/policy'
+import { recordObjectName, type ObjectStore, type RecordKind } from '@buckthorndrift/platform'
+import type { BillingRecord, RefusalAccount } from '@buckthorndrift/protocol'
+
+/** Objects hold up to a megabyte; records are measured as JSON, so half leaves room. */
+const maxBatchBytes = 512 * 1024
+
+/** Bytes counted per record besides its text, for map entries and object headers. */
+const recordOverheadBytes = 200
+
+function sizeBytesOf (item: BillingRecord | RefusalAccount): number {
+  return JSON.stringify(item).length + recordOverheadBytes
+}
+
+export interface RecordWriterOptions {
+  readonly store: ObjectStore
+  readonly timers: TimerService
+  readonly log: Log
+  /** `<routerId>.<incarnation>` */
+  readonly writer: string
+  /** Called with billing records that are now stored. */
+  onBilled (records: readonly BillingRecord[]): void
+}
+
+/** Buffers of both kinds and their writes; one write at a time per kind. */
+export class RecordWriter {
+  readonly #options: RecordWriterOptions
+  readonly billing = new RecordBuffer<BillingRecord>({ keyOf: record => record.requestId, sizeBytesOf, maxBatchBytes })
+  readonly refusals = new RecordBuffer<RefusalAccount>({ keyOf: account => account.accountId, sizeBytesOf, maxBatchBytes })
+
+  constructor (options: RecordWriterOptions) {
+    this.#options = options
+  }
+
+  /** Bytes of records that the platform is not known to have. */
+  get sizeBytes (): number {
+    return this.billing.sizeBytes + this.refusals.sizeBytes
+  }
+
+  /** Writes all that waits. Resolves to false when the platform did not take a batch. */
+  async flush (): Promise<boolean> {
+    const isBilled = await this.#flushKind('billing', this.billing, items => ({ records: items }))
+    const isCounted = await this.#flushKind('refusals', this.refusals, items => ({ accounts: items }))
+    return isBilled && isCounted
+  }
+
+  async #flushKind<Item extends BillingRecord | RefusalAccount> (kind: RecordKind, buffer: RecordBuffer<Item>, valueOf: (items: readonly Item[]) => unknown): Promise<boolean> {
+    for (let batch = buffer.nextBatch(); batch !== undefined; batch = buffer.nextBatch()) {
+      const isStored = await this.#write(kind, batch, valueOf(batch.items))
+      if (!isStored) return false
+      buffer.confirm(batch)
+      if (kind === 'billing') this.#options.onBilled(batch.items as readonly BillingRecord[])
+    }
+    return true
+  }
+
+  async #write (kind: RecordKind, batch: RecordBatch<unknown>, value: unknown): Promise<boolean> {
+    const { store, timers, log, writer } = this.#options
+    const name = recordObjectName(kind, timers.nowMs(), writer, batch.number)
+    const written = await store.write(name, value, 0)
+    // A conflict means that an earlier write of this batch took effect although its reply was lost.
+    const isStored = written.isOk() || written.error.kind === 'conflict'
+    if (isStored) log.event('recordsStored', { kind, count: batch.items.length })
+    else log.event('recordsWaiting', { kind, waitingBytes: this.sizeBytes })
+    return isStored
+  }
+}
