Judge rollouts by sequential comparison of versions

Cause: a bad version must get a small share and none soon after it shows itself bad, and a good one must be moved over in time and not be taken back by noise.

Each route's failures and latencies of the target are compared with those of the baseline at the same time by a CUSUM test; shares double up to 90%, and the last tenth moves shortly before the set time, because without a baseline a fault of the whole fleet looks like one of the target.

--- /dev/null
+++ b/packages/bench/src/shared/random.ts
@@ -0,0 +1,32 @@
+/** Seeded random numbers for benches and soak runs. */
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
+import { mersenne } from 'pure-rand/generator/mersenne'
+
+export interface Random {
+  /** Uniform in [0, 1). */
+  next (): number
+  /** Uniform integer in [0, limit). */
+  below (limit: number): number
+  /** Exponentially distributed with the given mean. */
+  exponential (mean: number): number
+  /** Number of events in an interval with the given mean. */
+  poisson (mean: number): number
+}
+
+/** Creates a generator; equal seeds give equal sequences. */
+export function createRandom (seed: number): Random {
+  // Neighbouring seeds of the xorshift family give similar first numbers, those of this one do not.
+  const generator = mersenne(seed)
+  const next = () => uniformFloat64(generator)
+  const exponential = (mean: number) => -Math.log(1 - next()) * mean
+  return {
+    next,
+    below: limit => Math.floor(next() * limit),
+    exponential,
+    poisson (mean) {
+      let count = 0
+      for (let sum = exponential(1); sum < mean; sum += exponential(1)) count++
+      return count
+    }
+  }
+}
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -2,3 +2,4 @@
 export * from './shared/verdict/index.ts'
 export * from './shared/fleet/index.ts'
 export * from './shared/records/index.ts'
+export * from './shared/rollout/index.ts'
--- a/packages/policy/src/shared/records/__tests__/records.test.ts
+++ b/packages/policy/src/shared/records/__tests__/records.test.ts
@@ -39,11 +39,11 @@
   it('writes a batch again under the same number with the same items until it is confirmed', () => {
     const buffer = bufferOf()
     buffer.add({ id: 1, sizeBytes: 10 })
-    const first = buffer.nextBatch()
+    const first = buffer.nextBatch(5)
     buffer.add({ id: 2, sizeBytes: 10 })
-    expect(buffer.nextBatch()).toEqual(first)
+    expect(buffer.nextBatch(3_600_005)).toEqual(first)
     buffer.confirm(first!)
-    expect(buffer.nextBatch()).toEqual({ number: 1, items: [{ id: 2, sizeBytes: 10 }] })
+    expect(buffer.nextBatch(3_600_006)).toEqual({ number: 1, createdMs: 3_600_006, items: [{ id: 2, sizeBytes: 10 }] })
   })
 
   it('loses no record and counts its bytes right in any order of adds, failures and confirmations', () => {
@@ -53,7 +53,7 @@
       let added = 0
       for (const step of [...steps, ...Array<'store'>(steps.length).fill('store')]) {
         if (typeof step === 'number') { buffer.add({ id: added++, sizeBytes: step }); continue }
-        const batch = buffer.nextBatch()
+        const batch = buffer.nextBatch(0)
         if (batch === undefined || step === 'fail') continue
         stored.push(...batch.items.map(item => item.id))
         buffer.confirm(batch)
--- a/packages/policy/src/shared/records/recordBuffer.ts
+++ b/packages/policy/src/shared/records/recordBuffer.ts
@@ -7,6 +7,8 @@
 export interface RecordBatch<Item> {
   /** Increases per writer; part of the object's name. */
   readonly number: number
+  /** When the batch was made, in ms since the Unix epoch; part of the object's name, so a later retry keeps the name. */
+  readonly createdMs: number
   readonly items: readonly Item[]
 }
 
@@ -53,11 +55,11 @@
   }
 
   /** The batch to write now: the one whose write is not confirmed, or a new one from what waits. */
-  nextBatch (): RecordBatch<Item> | undefined {
+  nextBatch (nowMs: number): RecordBatch<Item> | undefined {
     if (this.#batch !== undefined) return this.#batch
     const items = this.#takeWaiting()
     if (items.length === 0) return undefined
-    this.#batch = { number: this.#nextNumber++, items }
+    this.#batch = { number: this.#nextNumber++, createdMs: nowMs, items }
     return this.#batch
   }
 
--- /dev/null
+++ b/packages/policy/src/shared/rollout/index.ts
@@ -0,0 +1,7 @@
+export { latencyBucketCount, latencyBucketOf, quantileBucket } from './latencyBuckets.ts'
+export { alarmEvidence, maxEvidencePerInterval, updateEvidence, type RateHypotheses } from './changeDetector.ts'
+export { addCounts, compareInterval, newComparison, noCounts, type RouteComparison, type RouteCounts } from './routeComparison.ts'
+export {
+  addInterval, badReason, decideRollout, maxStepMs, minStepMs, newEvidence, shareSteps, startRollout, stepMs,
+  type IntervalCounts, type RolloutEvidence, type RolloutPhase, type RolloutState
+} from './rollout.ts'
--- a/packages/protocol/src/shared/routerControl.ts
+++ b/packages/protocol/src/shared/routerControl.ts
@@ -86,7 +86,7 @@
   route: z.string(),
   completed: z.number().int().nonnegative(),
   failed: z.number().int().nonnegative(),
-  /** Counts by latency bucket; bucket `i` holds latencies below `2 ** (i / 2)` ms. */
+  /** Counts by latency bucket; bucket `i` holds latencies from `2 ** (i / 4)` to `2 ** ((i + 1) / 4)` ms. */
   latencyBuckets: z.array(z.number().int().nonnegative()).max(64).readonly()
 }).readonly()
 export type OutcomeCounts = z.infer<typeof outcomeCountsSchema>
--- a/packages/router/src/node/records/recordWriter.ts
+++ b/packages/router/src/node/records/recordWriter.ts
@@ -47,7 +47,7 @@
   }
 
   async #flushKind<Item extends BillingRecord | RefusalAccount> (kind: RecordKind, buffer: RecordBuffer<Item>, valueOf: (items: readonly Item[]) => unknown): Promise<boolean> {
-    for (let batch = buffer.nextBatch(); batch !== undefined; batch = buffer.nextBatch()) {
+    for (let batch = this.#next(buffer); batch !== undefined; batch = this.#next(buffer)) {
       const isStored = await this.#write(kind, batch, valueOf(batch.items))
       if (!isStored) return false
       buffer.confirm(batch)
@@ -56,9 +56,13 @@
     return true
   }
 
+  #next<Item> (buffer: RecordBuffer<Item>): RecordBatch<Item> | undefined {
+    return buffer.nextBatch(this.#options.timers.nowMs())
+  }
+
   async #write (kind: RecordKind, batch: RecordBatch<unknown>, value: unknown): Promise<boolean> {
-    const { store, timers, log, writer } = this.#options
-    const name = recordObjectName(kind, timers.nowMs(), writer, batch.number)
+    const { store, log, writer } = this.#options
+    const name = recordObjectName(kind, batch.createdMs, writer, batch.number)
     const written = await store.write(name, value, 0)
     // A conflict means that an earlier write of this batch took effect although its reply was lost.
     const isStored = written.isOk() || written.error.kind === 'conflict'
