Add stand-ins of a model engine and a plain service

The endpoint gate, the router and the randomised runs need back ends that can be overloaded, crash, lose replies, go silent and turn bad.

--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,4 +1,10 @@
 /** Stand-ins of the outside systems, for tests, benchmarks and demonstrations. */
 export { startObjectApi, type ObjectApi, type ObjectApiCall, type ObjectApiCounters, type ObjectApiFaults, type ObjectApiOptions } from './node/objectApi.ts'
+export { startEngine, type Engine, type EngineFaults, type EngineOptions, type EngineOrder } from './node/engine.ts'
+export { startPlainService, type PlainService, type PlainServiceFaults, type PlainServiceOptions } from './node/plainService.ts'
 export { type ObjectTable, type TableObject } from './shared/objectTable.ts'
 export { type StandInVm } from './shared/vmList.ts'
+export { type BadVersion } from './shared/badVersion.ts'
+export { defaultEngineSettings, type EngineLoad, type EngineModel, type EngineSettings } from './shared/engineModel.ts'
+export { expectedContent, promptTokensOf } from './shared/engineRequest.ts'
+export { blockCharacters, blocksOf, type CacheEvent } from './shared/prefixCache.ts'
--- a/packages/standins/src/node/objectApi.ts
+++ b/packages/standins/src/node/objectApi.ts
@@ -5,7 +5,7 @@
 import { ObjectTable } from '../shared/objectTable.ts'
 import { RateLimit } from '../shared/rateLimit.ts'
 import { VmList, type StandInVm } from '../shared/vmList.ts'
-import { breakConnection, onClose, problem, segmentAfter, startStandInServer } from './standInServer.ts'
+import { breakConnection, onClose, nameInPath, neverAnswer, problem, startStandInServer } from './standInServer.ts'
 
 export type ObjectApiCall = 'read' | 'write' | 'remove' | 'list' | 'watch' | 'vms'
 export type ObjectApiCounters = Readonly<Record<ObjectApiCall | 'rateLimited' | 'conflict', number>>
@@ -91,7 +91,7 @@
   }
 
   async function answer (call: ObjectApiCall, event: H3Event, handle: () => Response | Promise<Response>): Promise<Response> {
-    if (faults.silent) return new Promise(resolve => { onClose(event, () => { resolve(new Response(null)) }) })
+    if (faults.silent) return neverAnswer(event)
     const limit = call === 'write' || call === 'remove' ? writes : reads
     const waitMs = limit.take(timers.monotonicMs())
     if (waitMs > 0) {
@@ -118,7 +118,7 @@
   }
 
   async function put (event: H3Event): Promise<Response> {
-    const name = segmentAfter(event, '/objects/')
+    const name = nameInPath(event)
     const expected = expectedVersion(event)
     if (expected === undefined) return problem(428, 'If-Match with a version or If-None-Match: * is required')
     const body = await event.req.text()
@@ -133,7 +133,7 @@
   function remove (event: H3Event): Response {
     const expected = expectedVersion(event)
     if (expected === undefined || expected === 0) return problem(428, 'If-Match with a version is required')
-    const result = table.remove(segmentAfter(event, '/objects/'), expected)
+    const result = table.remove(nameInPath(event), expected)
     const reply = Response.json({ version: result.version }, { status: result.isApplied ? 200 : 412 })
     return replyToWrite(event, result.isApplied, reply)
   }
@@ -178,7 +178,7 @@
   }
 
   function read (event: H3Event): Response {
-    const name = segmentAfter(event, '/objects/')
+    const name = nameInPath(event)
     const object = table.read(name)
     return object === undefined ? problem(404, 'there is no such object') : Response.json({ name, ...object })
   }
--- a/packages/standins/src/node/standInServer.ts
+++ b/packages/standins/src/node/standInServer.ts
@@ -65,10 +65,15 @@
   exchangeOf(event).res.once('close', listener)
 }
 
-/** Last path segment after `prefix`, percent-decoded once, slashes included. */
-export function segmentAfter (event: H3Event, prefix: string): string {
+/** The second segment of the path, percent-decoded once: the name in `/objects/<name>`, slashes included. */
+export function nameInPath (event: H3Event): string {
   const path = (exchangeOf(event).req.url ?? '').split('?')[0] ?? ''
-  return decodeURIComponent(path.slice(prefix.length))
+  return decodeURIComponent(path.split('/')[2] ?? '')
+}
+
+/** Resolves when the caller closes the connection, without an answer before that. */
+export function neverAnswer (event: H3Event): Promise<Response> {
+  return new Promise(resolve => { onClose(event, () => { resolve(new Response(null)) }) })
 }
 
 /** A problem body as `{ message }`. */
