--- /dev/null
+++ b/packages/platform/src/node/objectStorePlugin.ts
@@ -0,0 +1,18 @@
+/** Plug-in that offers the platform's object API to the other plug-ins. */
+import { definePlugin, type Plugin } from '@buckthorndrift/kernel'
+import { objectStoreKey } from '../shared/objectStore.ts'
+import { createHttpObjectStore, type HttpObjectStoreOptions } from './httpObjectStore.ts'
+
+export type ObjectStorePluginOptions = Omit<HttpObjectStoreOptions, 'timers'>
+
+/** Provides `objectStoreKey`; calls in progress fail when the process closes. */
+export function createObjectStorePlugin (options: ObjectStorePluginOptions): Plugin {
+  return definePlugin({
+    name: 'objectStore',
+    setup (context) {
+      const store = createHttpObjectStore({ ...options, timers: context.timers })
+      context.provide(objectStoreKey, store)
+      return { close: () => store.close() }
+    }
+  })
+}
--- a/packages/platform/src/shared/objectStore.ts
+++ b/packages/platform/src/shared/objectStore.ts
@@ -27,6 +27,8 @@
   /** Revision to continue from. */
   readonly revision: number
   readonly changes: readonly ObjectChange[]
+  /** True when changes after the given revision are no longer known; the caller lists the prefix again. */
+  readonly isReset?: boolean
 }
 
 export interface ListedVm {
