Add documents: watch, exchange and push of configuration between processes

Configuration has to be in force everywhere within 9 s without a watch per process. Two routers per failure domain, chosen by rendezvous hashing over the routers that answer, follow the platform by one watch per prefix; all others compare versions with a random router every 2 s, and news goes to three peers after 10 ms of gathering.

An answer's digest lists only the names on which both sides differ, so a comparison without differences costs one digest. Messages hold at most 200 documents and 2 MB; the rest follows in the next message. A watch moves on only after all changed objects were read, so a failed read is repeated. A watch that is reset takes the revision first and lists second, so no change falls between. A starting process takes what it loads without pushing it.

Ruled out: one watch for all prefixes, which every budget write would wake.

--- a/packages/kernel/src/shared/eventCatalogue.ts
+++ b/packages/kernel/src/shared/eventCatalogue.ts
@@ -28,6 +28,10 @@
   drainTimedOut: { number: 1004, level: 'warn', message: 'graceful shutdown exceeded its time limit', action: 'Raise the drain limit if streams need longer.' },
   settingsRejected: { number: 1005, level: 'error', message: 'settings are invalid', action: 'Correct the named settings and start again.' },
 
+  documentsLoaded: { number: 1100, level: 'info', message: 'documents loaded', action: 'none' },
+  documentsStartDelayed: { number: 1101, level: 'warn', message: 'neither a router nor the platform has answered yet; retrying', action: 'Check the connection to the object API if this lasts.' },
+  platformWatchFailed: { number: 1102, level: 'warn', message: 'watch on the object API failed; retrying', action: 'Check the object API if this lasts; documents still arrive from peers.' },
+
   recordsStored: { number: 1500, level: 'debug', message: 'stored a batch of records', action: 'none' },
   recordsWaiting: { number: 1501, level: 'warn', message: 'records wait because the platform did not take them', action: 'Restore the platform. At the bound the router refuses new requests.' },
   recordsFull: { number: 1502, level: 'error', message: 'waiting records reached their memory bound; new requests are refused', action: 'Restore the platform, or replace the router after its records were handed over.' },
--- /dev/null
+++ b/packages/platform/src/shared/__tests__/documents.test.ts
@@ -0,0 +1,205 @@
+import fc from 'fast-check'
+import { describe, expect, it } from 'vitest'
+import { ManualTimers, silentLog, silentMetrics } from '@buckthorndrift/kernel'
+import type { Member } from '@buckthorndrift/protocol'
+import { randomFrom } from '@buckthorndrift/standins'
+import { defaultDocumentsTuning, documentPrefixes, DocumentsService, DocumentTable, MemoryObjects, MemoryObjectStore, Suspicions, type StoredObject } from '../../index.ts'
+import { flush, settle } from './settle.ts'
+
+interface Holder {
+  readonly self: Member
+  readonly store: MemoryObjectStore
+  readonly service: DocumentsService
+  readonly seen: StoredObject[]
+}
+
+/** Holders in one process whose messages are function calls; `isBlocked` breaks links between domains. */
+class Fleet {
+  readonly timers = new ManualTimers()
+  readonly objects = new MemoryObjects()
+  readonly holders: Holder[] = []
+  isBlocked: (from: Member, to: Member) => boolean = () => false
+  readonly #random: () => number
+
+  constructor (domains: number, routersPerDomain: number, endpoints: number, seed: number) {
+    this.#random = randomFrom(seed)
+    const members = (role: 'router' | 'endpoint', count: number): Member[] => Array.from({ length: count }, (_, index) => ({
+      id: `${role}${index}`, incarnation: '1', role, vm: `vm-${role}${index}`, failureDomain: `d${index % domains}`, controlUrl: `${role}${index}`, leaving: false
+    }))
+    const all = [...members('router', domains * routersPerDomain), ...members('endpoint', endpoints)]
+    for (let domain = 0; domain < domains; domain += 1) this.put(`members/d${domain}`, { members: all.filter(member => member.failureDomain === `d${domain}`) })
+    this.put('config/fleet', { change: 0 })
+    for (const self of all) this.#add(self)
+  }
+
+  put (name: string, value: unknown): number {
+    const version = this.objects.note(name, false)
+    this.objects.entries.set(name, { version, text: JSON.stringify(value) })
+    this.objects.notifyWatches()
+    return version
+  }
+
+  async run (durationMs: number): Promise<void> {
+    for (let passedMs = 0; passedMs < durationMs; passedMs += 20) {
+      for (let turn = 0; turn < 4; turn += 1) await flush()
+      this.timers.advance(20)
+    }
+    await flush()
+  }
+
+  start (): Promise<unknown> {
+    return settle(this.timers, Promise.all(this.holders.map(holder => holder.service.start())), 20)
+  }
+
+  holding (name: string, version: number): number {
+    return this.holders.filter(holder => holder.service.get(name)?.version === version).length
+  }
+
+  #add (self: Member): void {
+    const store = new MemoryObjectStore({ timers: this.timers, objects: this.objects })
+    const seen: StoredObject[] = []
+    const service = new DocumentsService({
+      self,
+      store,
+      timers: this.timers,
+      log: silentLog,
+      metrics: silentMetrics,
+      suspicions: new Suspicions(this.timers, 10_000),
+      random: this.#random,
+      prefixes: documentPrefixes,
+      tuning: defaultDocumentsTuning,
+      call: async (peer, input) => {
+        const target = this.holders.find(holder => holder.self.id === peer.id)
+        if (target === undefined || this.isBlocked(self, peer)) throw new Error('no answer')
+        return structuredClone(target.service.answer(structuredClone(input)))
+      }
+    })
+    service.subscribe('', document => { seen.push(document) })
+    this.holders.push({ self, store, service, seen })
+  }
+}
+
+const name = fc.constantFrom('config/a', 'config/b', 'fences', 'crashes')
+const document = fc.record({ name, version: fc.integer({ min: 1, max: 9 }) })
+
+describe('document table', () => {
+  it('holds the highest version in any order of arrival and never goes back', () => {
+    fc.assert(fc.property(fc.array(document), offered => {
+      const table = new DocumentTable(documentPrefixes)
+      const highest = new Map<string, number>()
+      for (const { name: of, version } of offered) {
+        const before = table.versionOf(of)
+        expect(table.offer({ name: of, version, value: version })).toBe(version > before)
+        highest.set(of, Math.max(highest.get(of) ?? 0, version))
+        expect(table.versionOf(of)).toBe(highest.get(of))
+      }
+      expect(table.digest()).toEqual(Object.fromEntries(highest))
+    }))
+  })
+
+  it('makes two tables equal by comparisons, also when not everything fits into one message', () => {
+    const size = fc.constantFrom(10, 900_000)
+    fc.assert(fc.property(fc.array(fc.tuple(document, size)), fc.array(fc.tuple(document, size)), (left, right) => {
+      const tables = [left, right].map(list => {
+        const table = new DocumentTable(documentPrefixes)
+        for (const [{ name: of, version }, length] of list) table.offer({ name: of, version, value: 'x'.repeat(length) })
+        return table
+      }) as [DocumentTable, DocumentTable]
+      const [caller, answerer] = tables
+      let documents: readonly StoredObject[] = []
+      for (let messages = 0; messages < 10; messages += 1) {
+        for (const sent of documents) answerer.offer(sent)
+        const answer = answerer.answer(caller.digest())
+        for (const { name: of, version, value } of answer.documents) caller.offer({ name: of, version, value })
+        documents = caller.pack(caller.wantedBy(answer.digest))
+        if (documents.length === 0 && !caller.isBehind(answer.digest)) break
+      }
+      expect(caller.digest()).toEqual(answerer.digest())
+    }), { numRuns: 50 })
+  })
+
+  it('takes no documents outside its prefixes, so that a peer cannot fill its memory', () => {
+    const table = new DocumentTable(documentPrefixes)
+    expect(table.offer({ name: 'billing/1', version: 1, value: 1 })).toBe(false)
+    expect(table.answer({ 'billing/1': 3 }).digest).toEqual({})
+  })
+})
+
+describe('documents of a fleet', () => {
+  const domains = 3
+  const isolated = fc.record({ cutOffDomain: fc.integer({ min: 0, max: domains - 1 }), seed: fc.integer() })
+
+  it('brings a change to every process, in order, while one domain is cut off from the platform', async () => {
+    await fc.assert(fc.asyncProperty(isolated, async ({ cutOffDomain, seed }) => {
+      const fleet = new Fleet(domains, 3, 6, seed)
+      await fleet.start()
+      for (const holder of fleet.holders) holder.store.isCutOff = holder.self.failureDomain === `d${cutOffDomain}`
+      fleet.holders[0]?.store.interruptWatches()
+      await fleet.run(500)
+      fleet.put('config/fleet', { change: 1 })
+      const version = fleet.put('config/fleet', { change: 2 })
+      await fleet.run(9000)
+      expect(fleet.holding('config/fleet', version)).toBe(fleet.holders.length)
+      for (const { seen } of fleet.holders) {
+        const versions = seen.filter(of => of.name === 'config/fleet').map(of => of.version)
+        expect(versions).toEqual([...new Set(versions)].sort((left, right) => left - right))
+      }
+    }), { numRuns: 10 })
+  })
+
+  it('catches up after a partition between domains and loses no change', async () => {
+    await fc.assert(fc.asyncProperty(isolated, async ({ cutOffDomain, seed }) => {
+      const fleet = new Fleet(domains, 2, 3, seed)
+      await fleet.start()
+      const inside = (member: Member): boolean => member.failureDomain === `d${cutOffDomain}`
+      fleet.isBlocked = (from, to) => inside(from) !== inside(to)
+      for (const holder of fleet.holders) holder.store.isCutOff = inside(holder.self)
+      fleet.holders[0]?.store.interruptWatches()
+      const version = fleet.put('config/fleet', { change: 1 })
+      await fleet.run(20_000)
+      expect(fleet.holding('config/fleet', version)).toBe(fleet.holders.filter(holder => !inside(holder.self)).length)
+      fleet.isBlocked = () => false
+      // A suspicion lasts up to 10 s, and the platform is still cut off.
+      await fleet.run(19_000)
+      expect(fleet.holding('config/fleet', version)).toBe(fleet.holders.length)
+    }), { numRuns: 5 })
+  })
+
+  it('starts late, not wrongly, when the platform is down', async () => {
+    const fleet = new Fleet(1, 2, 1, 7)
+    for (const holder of fleet.holders) holder.store.isCutOff = true
+    const starting = fleet.start()
+    await fleet.run(3000)
+    expect(fleet.holding('config/fleet', 2)).toBe(0)
+    for (const holder of fleet.holders) holder.store.isCutOff = false
+    await starting
+    expect(fleet.holding('config/fleet', 2)).toBe(fleet.holders.length)
+  })
+
+  it('watches with two routers per domain, whose calls do not grow with the other processes', async () => {
+    const fleet = new Fleet(2, 6, 20, 3)
+    await fleet.start()
+    await fleet.run(5000)
+    expect(fleet.holders.filter(({ service }) => service.isWatcher())).toHaveLength(4)
+    const readsOf = (): number => fleet.holders.reduce((sum, { store }) => sum + store.counters.read, 0)
+    const before = readsOf()
+    fleet.put('config/fleet', { change: 1 })
+    await fleet.run(5000)
+    expect(readsOf() - before).toBeLessThanOrEqual(4)
+  })
+
+  it('reads everything again when the history of changes does not reach back', async () => {
+    const fleet = new Fleet(1, 1, 0, 5)
+    await fleet.start()
+    const [holder] = fleet.holders
+    if (holder === undefined) throw new Error('the fleet has one router')
+    holder.store.isCutOff = true
+    holder.store.interruptWatches()
+    await fleet.run(100)
+    const version = fleet.put('config/fleet', { change: 1 })
+    fleet.objects.forgetHistory()
+    holder.store.isCutOff = false
+    await fleet.run(30_000)
+    expect(holder.service.get('config/fleet')?.version).toBe(version)
+  })
+})
