--- a/packages/kernel/src/shared/eventCatalogue.ts
+++ b/packages/kernel/src/shared/eventCatalogue.ts
@@ -31,6 +31,8 @@
   documentsLoaded: { number: 1100, level: 'info', message: 'documents loaded', action: 'none' },
   documentsStartDelayed: { number: 1101, level: 'warn', message: 'neither a router nor the platform has answered yet; retrying', action: 'Check the connection to the object API if this lasts.' },
   platformWatchFailed: { number: 1102, level: 'warn', message: 'watch on the object API failed; retrying', action: 'Check the object API if this lasts; documents still arrive from peers.' },
+  leaseAcquired: { number: 1103, level: 'info', message: 'lease acquired', action: 'none' },
+  leaseLost: { number: 1104, level: 'warn', message: 'lease taken over by another process', action: 'none, unless it happens often: then look for long pauses of the process.' },
 
   recordsStored: { number: 1500, level: 'debug', message: 'stored a batch of records', action: 'none' },
   recordsWaiting: { number: 1501, level: 'warn', message: 'records wait because the platform did not take them', action: 'Restore the platform. At the bound the router refuses new requests.' },
