Add parser of the fleet text

The routers and the administration API need one reading of the fleet text. The parser goes through the yaml library with positions, then a zod schema, then checks across services. It refuses a text as a whole and lists up to 50 problems with line, column and reason: syntax, unknown names, cycles, duplicates, deadlines that cannot be met, and bad or ambiguous routes.

Aliases and collection keys are refused: aliases can expand a short text into a huge one, and the library prints a warning for such keys. Deep nesting made the library run out of stack; the RangeError becomes a problem, and texts above 256 KiB are refused first. Deadlines are compared with the clock only when an operator checks or applies a text, because a stored text has to stay valid after its deadlines have passed.

--- /dev/null
+++ b/packages/policy/src/shared/fleet/fleetDiff.ts
@@ -0,0 +1,49 @@
+/** Differences between two fleet configurations, as an operator reads them. */
+import type { FleetConfig, ServiceConfig } from './fleetConfig.ts'
+
+export interface FleetChange {
+  readonly kind: 'added' | 'removed' | 'changed'
+  /** Part of the text, such as `boarding-desk calls "GET /chambers/*" priceTokens`. */
+  readonly part: string
+  /** Absent when the part was added. */
+  readonly before?: string
+  /** Absent when the part was removed. */
+  readonly after?: string
+}
+
+/** Parts of a service with their values, in the order of the text. */
+function partsOf (service: ServiceConfig): ReadonlyArray<readonly [string, string]> {
+  const { name } = service
+  const own: ReadonlyArray<readonly [string, string]> = service.kind === 'model'
+    ? [[`${name} maxOutputTokens`, String(service.maxOutputTokens)]]
+    : service.calls.flatMap(call => [
+      [`${name} calls "${call.route}" idempotent`, String(call.idempotent)],
+      [`${name} calls "${call.route}" priceTokens`, String(call.priceTokens)]
+    ])
+  return [
+    [`${name} kind`, service.kind],
+    [`${name} dependsOn`, service.dependsOn.join(', ')],
+    [`${name} endpointLimit`, String(service.endpointLimit)],
+    [`${name} versions`, service.versions.map(version => version.name).join(', ')],
+    ...service.versions.flatMap(version => version.moveByMs === undefined ? [] : [[`${name} versions ${version.name} moveByMs`, String(version.moveByMs)] as const]),
+    ...own
+  ]
+}
+
+function allParts (config: FleetConfig | undefined): ReadonlyMap<string, string> {
+  return new Map(Object.values(config?.services ?? {}).flatMap(service => partsOf(service)))
+}
+
+/** Lists the differences; empty when both configurations mean the same. */
+export function diffFleet (before: FleetConfig | undefined, after: FleetConfig): readonly FleetChange[] {
+  const old = allParts(before)
+  const next = allParts(after)
+  return [...new Set([...old.keys(), ...next.keys()])].flatMap((part): readonly FleetChange[] => {
+    const from = old.get(part)
+    const to = next.get(part)
+    if (from === to) return []
+    if (from === undefined) return [{ kind: 'added', part, after: to ?? '' }]
+    if (to === undefined) return [{ kind: 'removed', part, before: from }]
+    return [{ kind: 'changed', part, before: from, after: to }]
+  })
+}
--- a/packages/policy/src/shared/fleet/index.ts
+++ b/packages/policy/src/shared/fleet/index.ts
@@ -1,1 +1,7 @@
 export type { CallConfig, DirectoryKey, DirectoryShard, FleetConfig, ServiceConfig, StoredFleetText, VersionConfig } from './fleetConfig.ts'
+export { parseFleetText } from './parseFleetText.ts'
+export { problemText, type FleetProblem } from './fleetProblem.ts'
+export { minRolloutMs, type DeadlineContext } from './fleetChecks.ts'
+export { maxFleetTextBytes } from './fleetSchema.ts'
+export { diffFleet, type FleetChange } from './fleetDiff.ts'
+export { findCall } from './routes.ts'
--- /dev/null
+++ b/packages/policy/src/shared/fleet/routes.ts
@@ -0,0 +1,64 @@
+/** Routes of plain services, such as `GET /chambers/*`, where `*` stands for one path segment. */
+import { Err, Ok, type Result } from 'ts-results-es'
+import type { CallConfig } from './fleetConfig.ts'
+
+const methods = ['GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS']
+const segmentPattern = /^[A-Za-z0-9._~!$&'()+,;=:@%-]+$/
+const maxRouteLength = 200
+
+export interface RouteParts {
+  readonly method: string
+  readonly path: string
+}
+
+/** Splits and checks a route; the error says what is wrong with it. */
+export function parseRoute (route: string): Result<RouteParts, string> {
+  if (route.length > maxRouteLength) return Err(`a route has at most ${maxRouteLength} characters`)
+  const [method = '', path = '', ...rest] = route.split(' ')
+  if (path === '' || rest.length > 0) return Err(`route "${route}" must be a method and a path, such as GET /chambers/*`)
+  if (!methods.includes(method)) return Err(`route "${route}" must begin with one of ${methods.join(', ')}`)
+  if (!path.startsWith('/')) return Err(`the path of route "${route}" must begin with a slash`)
+  const wrong = path === '/' ? undefined : segmentsOf(path).find(segment => !isSegment(segment))
+  if (wrong === undefined) return Ok({ method, path })
+  return Err(wrong === '' ? `the path of route "${route}" has an empty segment` : `segment "${wrong}" of route "${route}" is not allowed`)
+}
+
+function isSegment (segment: string): boolean {
+  return segment === '*' || (segmentPattern.test(segment) && segment !== '.' && segment !== '..')
+}
+
+function segmentsOf (path: string): readonly string[] {
+  return path.slice(1).split('/')
+}
+
+/** Whether a path without query matches the pattern. An empty segment matches nothing. */
+function matches (pattern: string, path: string): boolean {
+  const expected = segmentsOf(pattern)
+  const given = segmentsOf(path)
+  if (expected.length !== given.length) return false
+  return expected.every((segment, index) => segment === given[index] || (segment === '*' && given[index] !== ''))
+}
+
+/** Whether every path that `narrow` matches is matched by `wide`. */
+function covers (wide: string, narrow: string): boolean {
+  const narrowSegments = segmentsOf(narrow)
+  const wideSegments = segmentsOf(wide)
+  return wideSegments.length === narrowSegments.length &&
+    wideSegments.every((segment, index) => segment === '*' ? narrowSegments[index] !== '' : segment === narrowSegments[index])
+}
+
+/** Whether some path matches both patterns and neither is the narrower one, so that its price would be ambiguous. */
+export function isAmbiguous (first: RouteParts, second: RouteParts): boolean {
+  if (first.method !== second.method) return false
+  const a = segmentsOf(first.path)
+  const b = segmentsOf(second.path)
+  const overlaps = a.length === b.length &&
+    a.every((segment, index) => segment === b[index] || (segment === '*' && b[index] !== '') || (b[index] === '*' && segment !== ''))
+  return overlaps && !covers(first.path, second.path) && !covers(second.path, first.path)
+}
+
+/** The call of a service that a request names: the narrowest match. `path` is without query. */
+export function findCall (calls: readonly CallConfig[], method: string, path: string): CallConfig | undefined {
+  const found = calls.filter(call => call.method === method && matches(call.path, path))
+  return found.find(call => found.every(other => covers(other.path, call.path)))
+}
