--- a/packages/kernel/src/shared/eventCatalogue.ts
+++ b/packages/kernel/src/shared/eventCatalogue.ts
@@ -26,7 +26,10 @@
   processStopped: { number: 1002, level: 'info', message: 'process stopped', action: 'none' },
   taskFailed: { number: 1003, level: 'error', message: 'task failed to handle a message', action: 'Report the error text; the process goes on.' },
   drainTimedOut: { number: 1004, level: 'warn', message: 'graceful shutdown exceeded its time limit', action: 'Raise the drain limit if streams need longer.' },
-  settingsRejected: { number: 1005, level: 'error', message: 'settings are invalid', action: 'Correct the named settings and start again.' }
+  settingsRejected: { number: 1005, level: 'error', message: 'settings are invalid', action: 'Correct the named settings and start again.' },
+  fleetTextInForce: { number: 1700, level: 'info', message: 'fleet text is in force', action: 'none' },
+  fleetTextRejected: { number: 1701, level: 'error', message: 'stored fleet text is invalid and was not put in force', action: 'Apply a corrected text; the earlier one stays in force until then.' },
+  directoryShardRejected: { number: 1702, level: 'error', message: 'stored key directory is invalid and was not put in force', action: 'Restore the named object; keys of its earlier version keep working until the process restarts.' }
 })
 
 export type EventName = keyof typeof eventCatalogue
