--- a/packages/kernel/src/shared/eventCatalogue.ts
+++ b/packages/kernel/src/shared/eventCatalogue.ts
@@ -29,7 +29,14 @@
   settingsRejected: { number: 1005, level: 'error', message: 'settings are invalid', action: 'Correct the named settings and start again.' },
   fleetTextInForce: { number: 1700, level: 'info', message: 'fleet text is in force', action: 'none' },
   fleetTextRejected: { number: 1701, level: 'error', message: 'stored fleet text is invalid and was not put in force', action: 'Apply a corrected text; the earlier one stays in force until then.' },
-  directoryShardRejected: { number: 1702, level: 'error', message: 'stored key directory is invalid and was not put in force', action: 'Restore the named object; keys of its earlier version keep working until the process restarts.' }
+  directoryShardRejected: { number: 1702, level: 'error', message: 'stored key directory is invalid and was not put in force', action: 'Restore the named object; keys of its earlier version keep working until the process restarts.' },
+
+  recordsStored: { number: 1500, level: 'debug', message: 'stored a batch of records', action: 'none' },
+  recordsWaiting: { number: 1501, level: 'warn', message: 'records wait because the platform did not take them', action: 'Restore the platform. At the bound the router refuses new requests.' },
+  recordsFull: { number: 1502, level: 'error', message: 'waiting records reached their memory bound; new requests are refused', action: 'Restore the platform, or replace the router after its records were handed over.' },
+  accountsNotCopied: { number: 1503, level: 'warn', message: 'no peer router took a copy of the refusal accounts', action: 'Check the other routers; until one answers, a lost router loses its last refusal accounts.' },
+  copiesStored: { number: 1504, level: 'info', message: 'stored refusal accounts of a peer that did not store them itself', action: 'none' },
+  acknowledgeFailed: { number: 1505, level: 'debug', message: 'endpoint process could not be told that its records are stored', action: 'none; it hands them over and readers drop the duplicates.' }
 })
 
 export type EventName = keyof typeof eventCatalogue
