Add administration API and its client

Operators need one place to check and apply the fleet text, to sell budgets, and to say afterwards who was turned away, when, and why. One table of operations with zod schemas gives the h3 routes, the undici client and docs/openapi.json.

Changes of shared objects go through one conditional update that reads again after a conflict or a lost reply and asks whether its own change is there. Applying a fleet text is never repeated by itself: the loser of a race gets the present version. Organisations are kept in 64 objects by hash; budgets have the full name <organisation>/<budget>, so equal names of two organisations do not collide. Billing and refusals are read once per query and served as pages; a copy of a record counts where the last object by name puts it, so a request is in one range only. Ruled out: platform readBilling, which keeps the records of all organisations in memory.

A body above the limit kept its connection open until the request timeout and delayed a graceful shutdown by 6 s; the response now closes the connection.

--- /dev/null
+++ b/packages/admin/src/node/__tests__/fixture.ts
@@ -0,0 +1,120 @@
+/** The administration API on a real listener, over an object store in memory with faults. */
+import { createHash } from 'node:crypto'
+import { Err, Ok } from 'ts-results-es'
+import { definePlugin, silentLog, silentMetrics, startKernel, SystemTimers, type Kernel } from '@buckthorndrift/kernel'
+import { documentsKey, membershipKey, objectStoreKey, type Documents, type Membership, type ObjectStore, type StoredObject } from '@buckthorndrift/platform'
+import type { Member } from '@buckthorndrift/protocol'
+import { adminListenerKey, budgetAdministrationKey, createAdminClient, createAdminPlugin, refuse, type AdminClient, type BudgetAdministration, type BudgetBalance } from '../../index.ts'
+
+export const adminKey = 'operator-key'
+export const sha256 = (text: string): string => createHash('sha256').update(text).digest('hex')
+
+export class MemoryStore implements ObjectStore {
+  readonly objects = new Map<string, StoredObject>()
+  /** Number of the next writes that take effect without a reply. */
+  lostReplies = 0
+  isDown = false
+
+  put (name: string, value: unknown): StoredObject {
+    const object = { name, version: (this.objects.get(name)?.version ?? 0) + 1, value: structuredClone(value) }
+    this.objects.set(name, object)
+    return object
+  }
+
+  async read (name: string) {
+    if (this.isDown) return Err({ kind: 'unavailable' as const, mayHaveApplied: false, detail: 'outage' })
+    return Ok(structuredClone(this.objects.get(name)))
+  }
+
+  async write (name: string, value: unknown, expectedVersion: number) {
+    if (this.isDown) return Err({ kind: 'unavailable' as const, mayHaveApplied: false, detail: 'outage' })
+    const version = this.objects.get(name)?.version ?? 0
+    if (version !== expectedVersion) return Err({ kind: 'conflict' as const, version })
+    const written = this.put(name, value)
+    if (this.lostReplies === 0) return Ok(written.version)
+    this.lostReplies--
+    return Err({ kind: 'unavailable' as const, mayHaveApplied: true, detail: 'reply lost' })
+  }
+
+  async list (prefix: string, options: { readonly after?: string, readonly limit?: number } = {}) {
+    const names = [...this.objects.keys()].filter(name => name.startsWith(prefix) && name > (options.after ?? '')).toSorted()
+    return Ok(names.slice(0, options.limit ?? 1000).map(name => ({ name, version: this.objects.get(name)!.version, isRemoved: false })))
+  }
+
+  remove (): never { throw new Error('not used') }
+  watch (): never { throw new Error('not used') }
+  vms (): never { throw new Error('not used') }
+}
+
+function documentsOver (store: MemoryStore): Documents {
+  const held = new Map<string, StoredObject>()
+  const learn = (document: StoredObject): void => { if (document.version > (held.get(document.name)?.version ?? 0)) held.set(document.name, document) }
+  return {
+    get: name => held.get(name),
+    subscribe: () => () => {},
+    learn,
+    async refresh (name) {
+      const read = await store.read(name)
+      if (read.isOk() && read.value !== undefined) learn(read.value)
+      return read
+    }
+  }
+}
+
+/** Budgets with the published behaviour: each operation id counts once. */
+function budgetsInMemory (): BudgetAdministration {
+  const balances = new Map<string, BudgetBalance>()
+  const operations = new Map<string, number>()
+  const grant = (budget: string, tokens: number, operationId: string) => {
+    const known = operations.get(`${budget} ${operationId}`)
+    const balance = balances.get(budget) ?? { grantedTokens: 0, spentTokens: 0, heldTokens: 0 }
+    if (known !== undefined && known !== tokens) return refuse('conflict', 'the operation id was used with another amount')
+    if (known === undefined) balances.set(budget, { ...balance, grantedTokens: balance.grantedTokens + tokens })
+    operations.set(`${budget} ${operationId}`, tokens)
+    return Ok(balances.get(budget)!)
+  }
+  return {
+    async create (budget, tokens, operationId) {
+      const isRepeat = operations.has(`${budget} ${operationId}`)
+      return balances.has(budget) && !isRepeat ? refuse('conflict', 'the budget exists') : grant(budget, tokens, operationId)
+    },
+    topUp: async (budget, tokens, operationId) => grant(budget, tokens, operationId),
+    read: async names => Ok(new Map(names.flatMap(name => balances.has(name) ? [[name, balances.get(name)!] as const] : [])))
+  }
+}
+
+export const router: Member = { id: 'r1', incarnation: '1', role: 'router', vm: 'vm1', failureDomain: 'north', controlUrl: 'http://127.0.0.1:9', leaving: false }
+export const lostRouter: Member = { ...router, id: 'r2' }
+export const endpoint: Member = { ...router, id: 'e1', role: 'endpoint', service: 'desk', version: 'v1' }
+
+export interface AdminFixture {
+  readonly store: MemoryStore
+  readonly url: string
+  readonly client: AdminClient
+  readonly kernel: Kernel
+  drains: number
+}
+
+export async function startAdmin (): Promise<AdminFixture> {
+  const store = new MemoryStore()
+  const membership = {
+    self: router, routers: () => [router, lostRouter], endpoints: () => [endpoint], isSuspected: (id: string) => id === 'r2'
+  } as unknown as Membership
+  const fixture = { store, url: '', drains: 0 }
+  const platform = definePlugin({
+    name: 'platform',
+    setup (context) {
+      context.provide(objectStoreKey, store)
+      context.provide(documentsKey, documentsOver(store))
+      context.provide(membershipKey, membership)
+      context.provide(budgetAdministrationKey, budgetsInMemory())
+      return {}
+    }
+  })
+  const admin = createAdminPlugin({
+    host: '127.0.0.1', port: 0, keys: [{ name: 'other', hash: sha256('other') }, { name: 'anna', hash: sha256(adminKey) }], fleetSecret: 's', drainSelf () { fixture.drains++ }
+  })
+  const kernel = await startKernel({ timers: new SystemTimers(), log: silentLog, metrics: silentMetrics, plugins: [platform, admin] })
+  const url = `http://127.0.0.1:${kernel.use(adminListenerKey).port}`
+  return Object.assign(fixture, { url, kernel, client: createAdminClient({ url, key: adminKey, timeoutMs: 10_000 }) })
+}
--- /dev/null
+++ b/packages/admin/src/node/__tests__/records.test.ts
@@ -0,0 +1,78 @@
+import { afterEach, beforeEach, describe, expect, it } from 'vitest'
+import { recordObjectName } from '@buckthorndrift/platform'
+import type { BillingRecord, RefusalAccount } from '@buckthorndrift/protocol'
+import { startAdmin, type AdminFixture } from './fixture.ts'
+
+const startMs = Date.UTC(2026, 10, 3, 9)
+const minuteMs = 60_000
+
+function billed (requestId: string, atMs: number, organisation = 'acme'): BillingRecord {
+  return {
+    requestId, organisation, budget: 'acme/main', service: 'desk', version: 'v1', route: 'GET /', tokens: 3, outcome: 'completed', atMs, endpointId: 'e1', routerId: 'r1', reservation: { holder: 'r1.1', shard: 0, seq: 1, tokens: 3 }
+  }
+}
+
+function refused (accountId: string, count: number, secondMs: number, reason = 'budgetExhausted', organisation = 'acme'): RefusalAccount {
+  return { accountId, number: 0, organisation, budget: 'acme/main', service: 'desk', reason, verdict: 'notRun', routerId: 'r1', secondMs, count }
+}
+
+describe('records', () => {
+  let admin: AdminFixture
+  beforeEach(async () => { admin = await startAdmin() })
+  afterEach(() => admin.kernel.stop())
+
+  const putBilling = (atMs: number, writer: string, records: readonly BillingRecord[]): void => { admin.store.put(recordObjectName('billing', atMs, writer, 0), { records }) }
+  const putRefusals = (atMs: number, writer: string, accounts: readonly RefusalAccount[]): void => { admin.store.put(recordObjectName('refusals', atMs, writer, 0), { accounts }) }
+
+  describe('billing', () => {
+    it('counts a request once although several routers stored it, also hours later and on other pages', async () => {
+      const records = Array.from({ length: 25 }, (_, index) => billed(`q${index}`, startMs + index * minuteMs))
+      putBilling(startMs, 'r1.1', records)
+      putBilling(startMs + 5 * 60 * minuteMs, 'r2.1', [...records.slice(3, 9), billed('other', startMs, 'bolt')])
+      const ids: string[] = []
+      for (let after: string | undefined; ;) {
+        const page = (await admin.client.call('listBilling', { organisation: 'acme', fromMs: startMs, toMs: startMs + 60 * minuteMs, limit: 4, ...(after === undefined ? {} : { after }) })).unwrap()
+        ids.push(...page.items.map(record => record.requestId))
+        after = page.next
+        if (after === undefined) break
+      }
+      expect(ids).toEqual(records.map(record => record.requestId))
+    })
+
+    it('counts a request in one range only when its copies carry times in two', async () => {
+      const boundaryMs = startMs + 60 * minuteMs
+      putBilling(startMs, 'r1.1', [billed('q1', boundaryMs - 1)])
+      putBilling(boundaryMs, 'r2.1', [billed('q1', boundaryMs + 1)])
+      const ranges = [[startMs, boundaryMs], [boundaryMs, boundaryMs + 60 * minuteMs]] as const
+      const pages = await Promise.all(ranges.map(([fromMs, toMs]) => admin.client.call('listBilling', { organisation: 'acme', fromMs, toMs })))
+      expect(pages.flatMap(page => page.unwrap().items)).toHaveLength(1)
+    })
+
+    it('refuses ranges that are empty or too long', async () => {
+      for (const toMs of [startMs, startMs + 32 * 24 * 60 * minuteMs]) {
+        expect((await admin.client.call('listBilling', { organisation: 'acme', fromMs: startMs, toMs })).unwrapErr()).toMatchObject({ problem: { code: 'badRequest' } })
+      }
+    })
+  })
+
+  describe('refusals', () => {
+    beforeEach(() => {
+      putRefusals(startMs, 'r1.1', [refused('a', 3, startMs), refused('b', 1, startMs, 'endpointFull'), refused('c', 1, startMs, 'budgetExhausted', 'bolt')])
+      putRefusals(startMs + minuteMs, 'r2.1', [refused('a', 2, startMs), refused('d', 1, startMs, 'unauthenticated', '')])
+    })
+
+    const list = async (filter: { readonly organisation?: string, readonly reason?: string }) => {
+      const page = await admin.client.call('listRefusals', { ...filter, fromMs: startMs, toMs: startMs + minuteMs })
+      return page.unwrap().items.map(account => [account.accountId, account.count])
+    }
+
+    it('takes the highest count of an account and filters by organisation and reason', async () => {
+      expect(await list({ organisation: 'acme' })).toEqual([['a', 3], ['b', 1]])
+      expect(await list({ organisation: 'acme', reason: 'endpointFull' })).toEqual([['b', 1]])
+    })
+
+    it('includes refusals of unknown callers when no organisation is named', async () => {
+      expect(await list({})).toEqual([['a', 3], ['b', 1], ['c', 1], ['d', 1]])
+    })
+  })
+})
--- /dev/null
+++ b/packages/admin/src/node/adminApp.ts
@@ -0,0 +1,107 @@
+/** The administration API as an h3 application. */
+import { assertBodySize, H3, HTTPError, type H3Event } from 'h3'
+import type { z } from 'zod'
+import type { Log } from '@buckthorndrift/kernel'
+import type { AdminKey } from '../shared/adminKeys.ts'
+import { createOpenApi } from '../shared/openApi.ts'
+import { operations, type Operation, type OperationName } from '../shared/operations.ts'
+import { problemOf, type AdminProblem } from '../shared/problem.ts'
+import { findOperator } from './adminAuthentication.ts'
+import type { Handlers } from './handlers/handlers.ts'
+
+/** Largest request body: a fleet text of 256 KiB with every character escaped in JSON. */
+export const maxBodyBytes = 2 * 1024 * 1024
+
+export interface AdminAppOptions {
+  readonly keys: readonly AdminKey[]
+  readonly handlers: Handlers
+  readonly log: Log
+}
+
+type AnyOperation = Operation<z.ZodObject, z.ZodObject, z.ZodObject, z.ZodType>
+
+/** Carries a problem out of request parsing. */
+class ProblemError extends Error {
+  readonly problem: AdminProblem
+
+  constructor (problem: AdminProblem) {
+    super(problem.detail)
+    this.problem = problem
+  }
+}
+
+function problemResponse (problem: AdminProblem): Response {
+  const headers = { 'content-type': 'application/problem+json' }
+  // The rest of a body that is too large is not read, so the connection cannot be used again.
+  return Response.json(problem, { status: problem.status, headers: problem.code === 'tooLarge' ? { ...headers, connection: 'close' } : headers })
+}
+
+/** Parses one part of a request; unknown names are refused, because a mistyped filter would return too much. */
+function parsePart (schema: z.ZodObject, value: unknown, place: string): Readonly<Record<string, unknown>> {
+  const parsed = schema.strict().safeParse(value)
+  if (parsed.success) return parsed.data
+  const problems = parsed.error.issues.map(issue => `${[place, ...issue.path].join('.')}: ${issue.message}`)
+  throw new ProblemError(problemOf('badRequest', problems.join('; ')))
+}
+
+async function readJson (event: H3Event): Promise<unknown> {
+  assertBodySize(event, maxBodyBytes)
+  const text = await event.req.text()
+  try {
+    return JSON.parse(text)
+  } catch {
+    throw new ProblemError(problemOf('badRequest', 'the body is not valid JSON'))
+  }
+}
+
+async function inputOf (operation: AnyOperation, event: H3Event): Promise<Readonly<Record<string, unknown>>> {
+  const params = parsePart(operation.params, decodedParams(event), 'path')
+  const query = parsePart(operation.query, Object.fromEntries(event.url.searchParams), 'query')
+  const body = operation.body === undefined ? {} : parsePart(operation.body, await readJson(event), 'body')
+  return { ...params, ...query, ...body }
+}
+
+function decodedParams (event: H3Event): Readonly<Record<string, string>> {
+  try {
+    return Object.fromEntries(Object.entries(event.context.params ?? {}).map(([name, value]) => [name, decodeURIComponent(value)]))
+  } catch {
+    throw new ProblemError(problemOf('badRequest', 'the path is not encoded correctly'))
+  }
+}
+
+function problemFromError (error: unknown, log: Log): AdminProblem {
+  const cause = error instanceof HTTPError ? error.cause ?? error : error
+  if (cause instanceof ProblemError) return cause.problem
+  if (error instanceof HTTPError && !error.unhandled) {
+    if (error.status === 404) return problemOf('notFound', 'there is no such call; see /openapi.json')
+    if (error.status === 413) return problemOf('tooLarge', `the body is larger than ${maxBodyBytes} bytes`)
+    if (error.status < 500) return problemOf('badRequest', error.message)
+  }
+  log.event('adminCallFailed', { error: cause instanceof Error ? cause.message : String(cause) })
+  return problemOf('internal', 'the call failed unexpectedly; the log of the router says why')
+}
+
+/** Builds the application. */
+export function createAdminApp (options: AdminAppOptions): H3 {
+  const { handlers, keys, log } = options
+  const description = createOpenApi()
+  const app = new H3({ silent: true, onError: error => problemResponse(problemFromError(error, log)) })
+
+  app.get('/openapi.json', () => Response.json(description))
+  for (const [name, operation] of Object.entries(operations as Readonly<Record<string, AnyOperation>>)) {
+    const handle = handlers[name as OperationName] as Handlers['createBudget']
+    app.on(operation.method, operation.path.replaceAll(/\{(\w+)\}/g, ':$1'), async event => {
+      const operator = findOperator(keys, event.req.headers.get('authorization'))
+      if (operator === undefined) {
+        log.event('adminKeyRejected', { operation: name, address: event.req.ip ?? '' })
+        return problemResponse(problemOf('unauthenticated', 'send the header Authorization: Bearer <administration key>'))
+      }
+      const input = await inputOf(operation, event)
+      const result = await handle(input as Parameters<typeof handle>[0], operator)
+      return result.isOk()
+        ? Response.json(result.value, { status: operation.status })
+        : problemResponse(result.error)
+    })
+  }
+  return app
+}
--- /dev/null
+++ b/packages/admin/src/node/handlers/fleet.ts
@@ -0,0 +1,93 @@
+/** Calls about the fleet text. */
+import { Ok, type Result } from 'ts-results-es'
+import { z } from 'zod'
+import { diffFleet, parseFleetText, type FleetConfig, type StoredFleetText } from '@buckthorndrift/policy'
+import { refuse, storeProblem, type AdminProblem } from '../../shared/problem.ts'
+import type { AdminServices, Handlers } from './handlers.ts'
+
+export const fleetDocument = 'config/fleet'
+
+const storedTextSchema = z.object({ text: z.string(), appliedBy: z.string(), appliedAtMs: z.number() })
+
+interface PresentFleet extends StoredFleetText {
+  readonly version: number
+  /** `undefined` when there is no text or it cannot be read. */
+  readonly config: FleetConfig | undefined
+}
+
+/** Reads the present text from the platform, not from the copy of this process, which may be older. */
+async function readPresent (services: AdminServices): Promise<Result<PresentFleet, AdminProblem>> {
+  const read = await services.documents.refresh(fleetDocument)
+  return read.mapErr(storeProblem).map(document => {
+    const stored = storedTextSchema.safeParse(document?.value)
+    const value = stored.success ? stored.data : { text: '', appliedBy: '', appliedAtMs: 0 }
+    const config = parseFleetText(value.text)
+    return { ...value, version: document?.version ?? 0, config: config.isOk() ? config.value : undefined }
+  })
+}
+
+/** Writes the text; after a lost reply, reads whether it took effect. */
+async function writeText (services: AdminServices, stored: StoredFleetText, expectedVersion: number): Promise<Result<number, AdminProblem>> {
+  const written = await services.store.write(fleetDocument, stored, expectedVersion)
+  if (written.isOk()) return written
+  const failure = written.error
+  if (failure.kind === 'conflict') return refuseConflict(expectedVersion, failure.version)
+  if (failure.kind === 'rejected' || !failure.mayHaveApplied) return written.mapErr(storeProblem)
+  const present = await readPresent(services)
+  if (present.isErr()) return refuse('unavailable', `${present.error.detail}; the text may have been applied, read it before applying again`, { mayHaveApplied: true })
+  const { version, text, appliedBy, appliedAtMs } = present.value
+  const isOwn = text === stored.text && appliedBy === stored.appliedBy && appliedAtMs === stored.appliedAtMs
+  if (isOwn) return Ok(version)
+  return version === expectedVersion
+    ? refuse('unavailable', 'the platform did not confirm the write and does not show it; read the text before applying again', { mayHaveApplied: true })
+    : refuseConflict(expectedVersion, version)
+}
+
+function refuseConflict (expected: number, version: number): Result<never, AdminProblem> {
+  return refuse('conflict', `the fleet text is at version ${version}, not ${expected}: somebody else applied one first; read it, merge your change and apply again`, { version })
+}
+
+export function createFleetHandlers (services: AdminServices): Pick<Handlers, 'readFleet' | 'checkFleet' | 'applyFleet' | 'listFollowers'> {
+  const parseNew = (text: string, inForce: FleetConfig | undefined) => parseFleetText(text, { nowMs: services.timers.nowMs(), inForce })
+  return {
+    async readFleet () {
+      const present = await readPresent(services)
+      return present.map(({ version, text, appliedBy, appliedAtMs }) => ({ version, text, appliedBy, appliedAtMs }))
+    },
+
+    async checkFleet ({ text }) {
+      const present = await readPresent(services)
+      return present.map(({ version, config }) => {
+        const parsed = parseNew(text, config)
+        return parsed.isErr()
+          ? { version, problems: [...parsed.error], changes: [] }
+          : { version, problems: [], changes: [...diffFleet(config, parsed.value)] }
+      })
+    },
+
+    async applyFleet ({ text, expectedVersion }, operator) {
+      const present = await readPresent(services)
+      if (present.isErr()) return present
+      if (present.value.version !== expectedVersion) return refuseConflict(expectedVersion, present.value.version)
+      const parsed = parseNew(text, present.value.config)
+      if (parsed.isErr()) return refuse('invalidFleetText', 'correct the listed problems; nothing was changed', { problems: [...parsed.error] })
+      const stored: StoredFleetText = { text, appliedBy: operator.name, appliedAtMs: services.timers.nowMs() }
+      const written = await writeText(services, stored, expectedVersion)
+      if (written.isErr()) return written
+      services.documents.learn({ name: fleetDocument, version: written.value, value: stored })
+      services.log.event('fleetTextApplied', { version: written.value, operator: operator.name })
+      return Ok({ version: written.value, changes: [...diffFleet(present.value.config, parsed.value)] })
+    },
+
+    async listFollowers () {
+      const version = services.documents.get(fleetDocument)?.version ?? 0
+      const members = [...services.membership.routers(), ...services.membership.endpoints()]
+      const followers = await Promise.all(members.map(async ({ id, role }) => {
+        const held = await services.processes.fleetVersion(id)
+        if (held.kind !== 'held') return { id, role, version: null, state: held.kind }
+        return { id, role, version: held.version, state: held.version >= version ? 'following' as const : 'behind' as const }
+      }))
+      return Ok({ version, followers })
+    }
+  }
+}
--- /dev/null
+++ b/packages/admin/src/node/handlers/handlers.ts
@@ -0,0 +1,28 @@
+/** What the handlers of the administration API work with. */
+import type { Result } from 'ts-results-es'
+import type { Log, TimerService } from '@buckthorndrift/kernel'
+import type { Documents, Membership, ObjectStore } from '@buckthorndrift/platform'
+import type { BudgetAdministration } from '../../shared/budgetAdministration.ts'
+import type { InputOf, OperationName, OutputOf } from '../../shared/operations.ts'
+import type { AdminProblem } from '../../shared/problem.ts'
+import type { ProcessControl } from '../processControl.ts'
+
+export interface AdminServices {
+  readonly store: ObjectStore
+  readonly documents: Documents
+  readonly membership: Membership
+  readonly budgets: BudgetAdministration
+  readonly processes: ProcessControl
+  readonly timers: TimerService
+  readonly log: Log
+}
+
+/** The operator behind a call. */
+export interface Operator {
+  /** Name of the administration key. */
+  readonly name: string
+}
+
+export type Handlers = {
+  readonly [Name in OperationName]: (input: InputOf<Name>, operator: Operator) => Promise<Result<OutputOf<Name>, AdminProblem>>
+}
--- /dev/null
+++ b/packages/admin/src/node/handlers/processes.ts
@@ -0,0 +1,74 @@
+/** Calls about services, processes and rollouts. */
+import { Ok } from 'ts-results-es'
+import { z } from 'zod'
+import { parseFleetText, type FleetConfig, type ServiceConfig } from '@buckthorndrift/policy'
+import type { Member } from '@buckthorndrift/protocol'
+import type { OutputOf } from '../../shared/operations.ts'
+import { fleetDocument } from './fleet.ts'
+import type { AdminServices, Handlers } from './handlers.ts'
+
+const storedTextSchema = z.object({ text: z.string() })
+
+function serviceOf (service: ServiceConfig, endpoints: readonly Member[]): OutputOf<'listServices'>['items'][number] {
+  return {
+    name: service.name,
+    kind: service.kind,
+    dependsOn: [...service.dependsOn],
+    endpointLimit: service.endpointLimit,
+    versions: service.versions.map(({ name, moveByMs }) => {
+      const own = endpoints.filter(member => member.service === service.name && member.version === name)
+      return { name, ...(moveByMs === undefined ? {} : { moveByMs }), endpoints: own.length, leaving: own.filter(member => member.leaving).length }
+    })
+  }
+}
+
+function memberOf (member: Member, isSuspected: boolean): OutputOf<'listMembers'>['items'][number] {
+  const { id, incarnation, role, vm, failureDomain, service, version, leaving } = member
+  return {
+    id,
+    incarnation,
+    role,
+    vm,
+    failureDomain,
+    ...(service === undefined ? {} : { service }),
+    ...(version === undefined ? {} : { version }),
+    state: leaving ? 'leaving' : isSuspected ? 'suspected' : 'live'
+  }
+}
+
+export function createProcessHandlers (services: AdminServices): Pick<Handlers, 'listServices' | 'listMembers' | 'drainMember' | 'listRollouts'> {
+  const { documents, membership, processes } = services
+
+  function fleet (): FleetConfig | undefined {
+    const stored = storedTextSchema.safeParse(documents.get(fleetDocument)?.value)
+    const parsed = stored.success ? parseFleetText(stored.data.text) : undefined
+    return parsed?.isOk() === true ? parsed.value : undefined
+  }
+
+  return {
+    async listServices () {
+      const endpoints = membership.endpoints()
+      return Ok({ items: Object.values(fleet()?.services ?? {}).map(service => serviceOf(service, endpoints)) })
+    },
+
+    async listMembers () {
+      const members = [...membership.routers(), ...membership.endpoints()]
+      return Ok({ items: members.map(member => memberOf(member, membership.isSuspected(member.id))) })
+    },
+
+    async drainMember ({ member }, operator) {
+      const drained = await processes.drain(member)
+      if (drained.isOk()) services.log.event('drainRequested', { member, operator: operator.name })
+      return drained.map(() => ({ member }))
+    },
+
+    async listRollouts () {
+      return Ok({
+        items: Object.keys(fleet()?.services ?? {}).flatMap(service => {
+          const document = documents.get(`rollouts/${service}`)
+          return document === undefined ? [] : [{ service, documentVersion: document.version, state: document.value }]
+        })
+      })
+    }
+  }
+}
--- /dev/null
+++ b/packages/admin/src/node/processControl.ts
@@ -0,0 +1,85 @@
+/** Questions and orders of the administration API to other processes of the fleet. */
+import { Err, Ok, type Result } from 'ts-results-es'
+import type { Documents, Membership } from '@buckthorndrift/platform'
+import { directoryDocument, directoryShards } from '@buckthorndrift/policy'
+import { createEndpointClient, createRouterClient, type Member } from '@buckthorndrift/protocol'
+import { problemOf, refuse, type AdminProblem } from '../shared/problem.ts'
+
+export type HeldVersion =
+  | { readonly kind: 'held', readonly version: number }
+  | { readonly kind: 'unreachable' }
+  /** The process does not tell which documents it holds. */
+  | { readonly kind: 'notReported' }
+
+export interface ProcessControl {
+  /** Version of the fleet text at a process; 0 when it has none. */
+  fleetVersion (member: string): Promise<HeldVersion>
+  /** Asks a process to shut down gracefully. */
+  drain (member: string): Promise<Result<void, AdminProblem>>
+}
+
+export interface ProcessControlOptions {
+  readonly documents: Documents
+  readonly membership: Membership
+  readonly fleetSecret: string
+  readonly timeoutMs: number
+  /** Starts the graceful shutdown of this process. */
+  drainSelf (): void
+}
+
+const fleetDocument = 'config/fleet'
+
+/** Names of the documents held here, so that an exchange returns versions and not all documents. */
+function digestOf (documents: Documents, membership: Membership): Readonly<Record<string, number>> {
+  const members = [...membership.routers(), ...membership.endpoints()]
+  const names = [
+    fleetDocument, 'fences', 'crashes',
+    ...Array.from({ length: directoryShards }, (_, shard) => directoryDocument(shard)),
+    ...members.flatMap(({ failureDomain, service }) => [`members/${failureDomain}`, ...(service === undefined ? [] : [`claims/${service}`, `rollouts/${service}`])])
+  ]
+  return Object.fromEntries(names.flatMap(name => {
+    const document = documents.get(name)
+    return document === undefined ? [] : [[name, document.version]]
+  }))
+}
+
+/** Reaches processes through their control listeners. */
+export function createProcessControl (options: ProcessControlOptions): ProcessControl {
+  const { documents, membership, fleetSecret, timeoutMs } = options
+
+  function find (id: string): Member | undefined {
+    return [...membership.routers(), ...membership.endpoints()].find(member => member.id === id)
+  }
+
+  return {
+    async fleetVersion (id) {
+      const member = find(id)
+      if (member === undefined) return { kind: 'unreachable' }
+      if (id === membership.self.id) return { kind: 'held', version: documents.get(fleetDocument)?.version ?? 0 }
+      if (member.role === 'endpoint') return { kind: 'notReported' }
+      try {
+        const client = createRouterClient({ url: member.controlUrl, fleetSecret, timeoutMs })
+        const { digest } = await client.documents.exchange.mutate({ digest: digestOf(documents, membership), documents: [] })
+        return { kind: 'held', version: digest[fleetDocument] ?? 0 }
+      } catch {
+        return { kind: 'unreachable' }
+      }
+    },
+
+    async drain (id) {
+      const member = find(id)
+      if (member === undefined) return refuse('notFound', `there is no process ${id}`)
+      if (id === membership.self.id) {
+        options.drainSelf()
+        return Ok(undefined)
+      }
+      if (member.role === 'router') return refuse('notSupported', `router ${id} is drained through its own administration listener, or by SIGTERM`)
+      try {
+        await createEndpointClient({ url: member.controlUrl, fleetSecret, timeoutMs }).lifecycle.drain.mutate()
+        return Ok(undefined)
+      } catch (error) {
+        return Err(problemOf('unavailable', `process ${id} did not answer: ${error instanceof Error ? error.message : String(error)}`, { mayHaveApplied: true }))
+      }
+    }
+  }
+}
--- a/packages/router/src/node/config/configPlugin.ts
+++ b/packages/router/src/node/config/configPlugin.ts
@@ -2,13 +2,13 @@
 import { z } from 'zod'
 import { definePlugin, type Plugin, type PluginContext } from '@buckthorndrift/kernel'
 import { documentsKey, type StoredObject } from '@buckthorndrift/platform'
-import { parseFleetText, problemText, type FleetConfig } from '@buckthorndrift/policy'
+import { directoryDocument, directoryShards, parseFleetText, problemText, type FleetConfig } from '@buckthorndrift/policy'
 import { configServiceKey } from '../../shared/services.ts'
-import { Directory, directoryShards } from './directory.ts'
+import { Directory } from './directory.ts'
 
 const fleetDocument = 'config/fleet'
 const directoryPrefix = 'directory/'
-const shardNames: readonly string[] = Array.from({ length: directoryShards }, (_, shard) => `${directoryPrefix}${shard}`)
+const shardNames: readonly string[] = Array.from({ length: directoryShards }, (_, shard) => directoryDocument(shard))
 const storedTextSchema = z.object({ text: z.string() })
 
 interface Configuration {
--- a/packages/router/src/node/config/directory.ts
+++ b/packages/router/src/node/config/directory.ts
@@ -1,14 +1,6 @@
 /** The key directory: which organisation and budget an API key belongs to. */
 import { createHash } from 'node:crypto'
-import { z } from 'zod'
-import type { DirectoryKey } from '@buckthorndrift/policy'
-
-/** Documents `directory/0` to `directory/63`; the shard of a key is its first hash byte modulo this. */
-export const directoryShards = 64
-
-const directoryShardSchema = z.object({
-  keys: z.record(z.string(), z.object({ organisation: z.string(), budget: z.string() }))
-})
+import { directoryShardOf, directoryShardSchema, type DirectoryKey } from '@buckthorndrift/policy'
 
 /** Keys of all shards, as far as they are known. */
 export class Directory {
@@ -23,7 +15,7 @@
   }
 
   find (apiKey: string): DirectoryKey | undefined {
-    const hash = createHash('sha256').update(apiKey).digest()
-    return this.#shards.get((hash[0] ?? 0) % directoryShards)?.get(hash.toString('hex'))
+    const hash = createHash('sha256').update(apiKey).digest('hex')
+    return this.#shards.get(directoryShardOf(hash))?.get(hash)
   }
 }
