--- a/packages/admin/src/shared/__tests__/openApi.test.ts
+++ b/packages/admin/src/shared/__tests__/openApi.test.ts
@@ -3,7 +3,7 @@
 import { createOpenApi } from '../../index.ts'
 
 describe('OpenAPI description', () => {
-  it('is committed as it is generated (npx tsc -b && node scripts/writeOpenApi.mjs)', () => {
+  it('is committed as it is generated (npx tsc -b && node scripts/writeDocs.mjs)', () => {
     const committed = readFileSync(new URL('../../../../../docs/openapi.json', import.meta.url), 'utf8')
     expect(JSON.parse(committed)).toEqual(JSON.parse(JSON.stringify(createOpenApi())))
   })
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -7,6 +7,8 @@
 export { eventCatalogue, type EventDefinition, type EventLevel, type EventName } from './shared/eventCatalogue.ts'
 export { silentLog, type Log, type LogContext } from './shared/log.ts'
 export { createRoarrLog, type RoarrLogOptions } from './node/roarrLog.ts'
+export { metricCatalogue, type MetricDefinition, type MetricKind, type MetricName } from './shared/metricCatalogue.ts'
+export { describeEvents, describeMetrics, describeSettings } from './shared/describeCatalogues.ts'
 export { silentMetrics, type Metrics, type MetricTags } from './shared/metrics.ts'
 export { createStatsdMetrics, type StatsdOptions } from './node/statsdMetrics.ts'
 export { contextOf, createTracing, type Tracing, type TracingOptions } from './node/tracing.ts'
