--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -3,3 +3,6 @@
   budgetServiceKey, configServiceKey, controlRegistryKey, recordServiceKey, versionServiceKey, type BudgetService,
   type ConfigService, type ControlRegistry, type HeldReservation, type RecordService, type RefusalDraft, type VersionService
 } from './shared/services.ts'
+export { createConfigPlugin } from './node/config/configPlugin.ts'
+export { resolveRouterSettings, routerSettings, tlsFilesOf, type ListenerName, type ResolvedRouterSettings, type RouterSettings } from './shared/routerSettings.ts'
+export { runRouter } from './node/runRouter.ts'
