Reserve from budget slices drawn by the router itself

Cause: the caller path and the administration API need budgets before homes, reclaim and the randomised runs exist.

Change: stored shard with its invariants, a holder state machine without sockets or clocks, the object layout with codec and operators' changes on an ObjectStore, and a router plugin that draws for itself. Cap growth counts after its write is confirmed, a smaller cap before it is sent; a lost reply is resolved by a read at a higher version, because at an unchanged version the write can still take effect.

Ruled out: a settled sequence per slice. It holds for all slices of a holder, so the stored form keeps it once per holder.

Not yet: forwarding to homes, recall between routers, reclaim, model runs.

--- a/packages/kernel/src/shared/eventCatalogue.ts
+++ b/packages/kernel/src/shared/eventCatalogue.ts
@@ -26,7 +26,12 @@
   processStopped: { number: 1002, level: 'info', message: 'process stopped', action: 'none' },
   taskFailed: { number: 1003, level: 'error', message: 'task failed to handle a message', action: 'Report the error text; the process goes on.' },
   drainTimedOut: { number: 1004, level: 'warn', message: 'graceful shutdown exceeded its time limit', action: 'Raise the drain limit if streams need longer.' },
-  settingsRejected: { number: 1005, level: 'error', message: 'settings are invalid', action: 'Correct the named settings and start again.' }
+  settingsRejected: { number: 1005, level: 'error', message: 'settings are invalid', action: 'Correct the named settings and start again.' },
+  budgetInvariantFailed: { number: 1200, level: 'error', message: 'a write of a budget shard was stopped by an invariant', action: 'Report the detail; the budgets of the shard are not drawn on until it is resolved.' },
+  budgetShardMalformed: { number: 1201, level: 'error', message: 'stored budget shard is malformed', action: 'Compare the object with docs/design.md section 4; reservations of its budgets are refused.' },
+  budgetWriteFailed: { number: 1202, level: 'warn', message: 'write of a budget shard failed and will be repeated', action: 'none' },
+  budgetHolderFenced: { number: 1203, level: 'warn', message: 'slices of this router were closed by another one; it continues under a new incarnation', action: 'Check whether the router was paused or cut off.' },
+  budgetReservationOrphaned: { number: 1204, level: 'warn', message: 'a reservation was never settled and counts as wholly spent', action: 'Check whether a router was lost at that time.' }
 })
 
 export type EventName = keyof typeof eventCatalogue
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -4,3 +4,4 @@
   type StoredObject, type StoreFailure, type WatchAnswer
 } from './shared/objectStore.ts'
 export { membershipKey, type Membership } from './shared/membership.ts'
+export * from './shared/budgets/index.ts'
--- /dev/null
+++ b/packages/platform/src/shared/budgets/index.ts
@@ -0,0 +1,10 @@
+/** Budget ledger in the platform: object layout, codec and operators' changes. */
+export {
+  budgetLayoutObject, budgetLayoutSchema, budgetShardObject, defaultBudgetShards, fencesObject, fencesSchema,
+  storedShardSchema, type BudgetLayout, type Fences, type StoredShard
+} from './layout.ts'
+export { decodeShard, encodeShard } from './codec.ts'
+export {
+  createBudgetOn, ensureBudgetLayout, readBudget, readBudgetShard, readOrganisationBudgets, topUpBudgetOn,
+  type BudgetOperationError, type BudgetReport
+} from './operations.ts'
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -1,3 +1,4 @@
 /** Decision logic of the fleet, without sockets, clocks or processes. */
 export * from './shared/verdict/index.ts'
 export * from './shared/fleet/index.ts'
+export * from './shared/budget/index.ts'
--- /dev/null
+++ b/packages/policy/src/shared/budget/writePlan.ts
@@ -0,0 +1,102 @@
+/** Decides what a holder writes to its shard. */
+import { changeSlices, findSlice, freeTokens, type BudgetEntry, type BudgetShard, type SliceChange } from './shard.ts'
+import { sliceTarget } from './sizing.ts'
+import type { BudgetLimits } from './limits.ts'
+import type { HeldBudget } from './heldBudget.ts'
+
+export interface PlanInput {
+  readonly holder: string
+  readonly shard: BudgetShard
+  readonly held: ReadonlyMap<string, HeldBudget>
+  readonly settledSeq: number
+  readonly flushedSeq: number
+  readonly isCollector: boolean
+  readonly isDraining: boolean
+  readonly limits: BudgetLimits
+  readonly nowMs: number
+}
+
+/** `now`: somebody waits. `soon`: a slice runs low. `flush`: at the next flush. */
+export type WriteUrgency = 'now' | 'soon' | 'flush'
+
+export interface WritePlan {
+  readonly value: BudgetShard
+  readonly settledSeq: number
+  readonly changes: readonly SliceChange[]
+  readonly urgency: WriteUrgency
+}
+
+interface BudgetPlan {
+  readonly change: SliceChange
+  readonly urgency: WriteUrgency | undefined
+}
+
+const urgencies: readonly WriteUrgency[] = ['now', 'soon', 'flush']
+
+/** Tokens of the waiting reservations, in order, that fit into `tokens`. */
+function fittingTokens (held: HeldBudget, tokens: number): number {
+  let sum = 0
+  for (const waiting of held.waiting) {
+    if (sum + waiting.tokens <= tokens) sum += waiting.tokens
+  }
+  return sum
+}
+
+/** Idle tokens that the holder aims to have of a budget. */
+export function targetOf (input: PlanInput, entry: BudgetEntry, held: HeldBudget, leftTokens: number): number {
+  return sliceTarget({
+    tokensPerSecond: held.rate.tokensPerSecond(input.nowMs),
+    largestTokens: held.largestTokens,
+    leftTokens,
+    otherSlices: entry.slices.filter(slice => slice.holder !== input.holder).length,
+    isCollector: input.isCollector,
+    isTight: input.nowMs < held.tightUntilMs
+  }, input.limits)
+}
+
+function planBudget (input: PlanInput, budget: string, entry: BudgetEntry, held: HeldBudget): BudgetPlan {
+  const { limits, nowMs } = input
+  const change = (capTokens: number) => ({ budget, capTokens, settledTokens: held.coveredTokens, isClosed: false })
+  const isWhollyCovered = held.openCount === 0 && held.coveredTokens === held.settledTokens
+  const isUnused = held.waiting.length === 0 && nowMs - held.lastUsedMs >= limits.closeIdleMs
+  if (held.hasStoredSlice && isWhollyCovered && (input.isDraining || isUnused)) {
+    return { change: { ...change(held.usableCapTokens), isClosed: true }, urgency: input.isDraining ? 'now' : 'flush' }
+  }
+  const storedCapTokens = findSlice(entry, input.holder)?.capTokens ?? 0
+  // Growth is bounded by the free tokens next to the stored cap, which may be above the usable one.
+  const mostCapTokens = storedCapTokens + freeTokens(entry)
+  const leftTokens = Math.max(0, mostCapTokens - held.usedTokens)
+  const waitingTokens = input.isDraining ? 0 : fittingTokens(held, leftTokens)
+  const targetTokens = input.isDraining ? 0 : targetOf(input, entry, held, leftTokens - waitingTokens)
+  const idleTokens = held.idleTokens
+  const capFor = (idle: number) => change(held.usedTokens + Math.min(leftTokens, idle))
+  if (waitingTokens > Math.max(0, idleTokens)) return { change: capFor(waitingTokens + targetTokens), urgency: 'now' }
+  const isLow = idleTokens < targetTokens && idleTokens <= targetTokens * limits.lowShare
+  if (isLow) return { change: capFor(targetTokens), urgency: 'soon' }
+  if (held.isRecalled || input.isDraining) {
+    return { change: capFor(Math.min(idleTokens, targetTokens)), urgency: idleTokens > targetTokens ? 'now' : undefined }
+  }
+  const isSurplus = idleTokens > targetTokens * limits.surplusFactor
+  const isTopUpUseful = idleTokens < targetTokens
+  if (isSurplus) return { change: capFor(targetTokens), urgency: 'flush' }
+  // A flush for another reason refills the slice as well.
+  return { change: isTopUpUseful ? capFor(targetTokens) : change(held.usableCapTokens), urgency: undefined }
+}
+
+/** The next write, or `undefined` when nothing has changed. */
+export function planWrite (input: PlanInput): WritePlan | undefined {
+  const changes: SliceChange[] = []
+  let urgency: WriteUrgency | undefined = input.settledSeq > input.flushedSeq ? 'flush' : undefined
+  for (const [budget, held] of input.held) {
+    const entry = input.shard.budgets.get(budget)
+    if (entry === undefined) continue
+    const planned = planBudget(input, budget, entry, held)
+    const stored = findSlice(entry, input.holder)
+    const isEmpty = stored === undefined && planned.change.capTokens === 0
+    if (isEmpty) continue
+    changes.push(planned.change)
+    if (planned.urgency !== undefined && (urgency === undefined || urgencies.indexOf(planned.urgency) < urgencies.indexOf(urgency))) urgency = planned.urgency
+  }
+  if (urgency === undefined || changes.length === 0) return undefined
+  return { value: changeSlices(input.shard, input.holder, input.settledSeq, changes), settledSeq: input.settledSeq, changes, urgency }
+}
--- /dev/null
+++ b/packages/router/src/node/budget/index.ts
@@ -0,0 +1,2 @@
+/** Budgets of a router. */
+export { createBudgetPlugin, type BudgetPluginOptions } from './plugin.ts'
