--- a/packages/kernel/src/shared/eventCatalogue.ts
+++ b/packages/kernel/src/shared/eventCatalogue.ts
@@ -31,7 +31,14 @@
   budgetShardMalformed: { number: 1201, level: 'error', message: 'stored budget shard is malformed', action: 'Compare the object with docs/design.md section 4; reservations of its budgets are refused.' },
   budgetWriteFailed: { number: 1202, level: 'warn', message: 'write of a budget shard failed and will be repeated', action: 'none' },
   budgetHolderFenced: { number: 1203, level: 'warn', message: 'slices of this router were closed by another one; it continues under a new incarnation', action: 'Check whether the router was paused or cut off.' },
-  budgetReservationOrphaned: { number: 1204, level: 'warn', message: 'a reservation was never settled and counts as wholly spent', action: 'Check whether a router was lost at that time.' }
+  budgetReservationOrphaned: { number: 1204, level: 'warn', message: 'a reservation was never settled and counts as wholly spent', action: 'Check whether a router was lost at that time.' },
+
+  recordsStored: { number: 1500, level: 'debug', message: 'stored a batch of records', action: 'none' },
+  recordsWaiting: { number: 1501, level: 'warn', message: 'records wait because the platform did not take them', action: 'Restore the platform. At the bound the router refuses new requests.' },
+  recordsFull: { number: 1502, level: 'error', message: 'waiting records reached their memory bound; new requests are refused', action: 'Restore the platform, or replace the router after its records were handed over.' },
+  accountsNotCopied: { number: 1503, level: 'warn', message: 'no peer router took a copy of the refusal accounts', action: 'Check the other routers; until one answers, a lost router loses its last refusal accounts.' },
+  copiesStored: { number: 1504, level: 'info', message: 'stored refusal accounts of a peer that did not store them itself', action: 'none' },
+  acknowledgeFailed: { number: 1505, level: 'debug', message: 'endpoint process could not be told that its records are stored', action: 'none; it hands them over and readers drop the duplicates.' },
 })
 
 export type EventName = keyof typeof eventCatalogue
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -5,3 +5,4 @@
 } from './shared/objectStore.ts'
 export { membershipKey, type Membership } from './shared/membership.ts'
 export * from './shared/budgets/index.ts'
+export * from './shared/records/index.ts'
