--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -1,5 +1,6 @@
 /** Decision logic of the fleet, without sockets, clocks or processes. */
 export * from './shared/verdict/index.ts'
 export * from './shared/fleet/index.ts'
+export * from './shared/budget/index.ts'
 export * from './shared/records/index.ts'
 export * from './shared/rollout/index.ts'
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -6,3 +6,4 @@
 export { createConfigPlugin } from './node/config/configPlugin.ts'
 export { resolveRouterSettings, routerSettings, tlsFilesOf, type ListenerName, type ResolvedRouterSettings, type RouterSettings } from './shared/routerSettings.ts'
 export { runRouter } from './node/runRouter.ts'
+export { createBudgetPlugin, type BudgetPluginOptions } from './node/budget/index.ts'
