--- a/packages/kernel/src/shared/eventCatalogue.ts
+++ b/packages/kernel/src/shared/eventCatalogue.ts
@@ -26,7 +26,18 @@
   processStopped: { number: 1002, level: 'info', message: 'process stopped', action: 'none' },
   taskFailed: { number: 1003, level: 'error', message: 'task failed to handle a message', action: 'Report the error text; the process goes on.' },
   drainTimedOut: { number: 1004, level: 'warn', message: 'graceful shutdown exceeded its time limit', action: 'Raise the drain limit if streams need longer.' },
-  settingsRejected: { number: 1005, level: 'error', message: 'settings are invalid', action: 'Correct the named settings and start again.' }
+  settingsRejected: { number: 1005, level: 'error', message: 'settings are invalid', action: 'Correct the named settings and start again.' },
+  backEndFellOver: { number: 1400, level: 'error', message: 'back end fell over', action: 'Look at the back end on this VM; the process probes it and goes on by itself.' },
+  backEndRecovered: { number: 1401, level: 'info', message: 'back end answers again', action: 'none' },
+  endpointOpened: { number: 1402, level: 'info', message: 'endpoint process accepts calls', action: 'none' },
+  fencesUnread: { number: 1403, level: 'warn', message: 'fences cannot be read from the platform; calls are refused until then', action: 'Check the platform; the process tries again.' },
+  holderFenced: { number: 1404, level: 'warn', message: 'holder of slices fenced', action: 'none' },
+  staleOrderRefused: { number: 1405, level: 'warn', message: 'order with a stale fencing token refused', action: 'none' },
+  handoverFailed: { number: 1406, level: 'error', message: 'state could not be handed over before the process stopped', action: 'Compare slices with billing records for the hour; report the difference.' },
+  recordsLimitReached: { number: 1407, level: 'error', message: 'billing records reached their limit; new calls are refused', action: 'Check that routers can write to the platform.' },
+  claimsTakenOver: { number: 1408, level: 'warn', message: 'claim shard taken over', action: 'none' },
+  claimsLost: { number: 1409, level: 'error', message: 'owner and witness of a claim shard are lost', action: 'Unknown keys of the shard are answered mayHaveRun for the retention time.' },
+  crashReportFailed: { number: 1410, level: 'warn', message: 'crash report reached no router', action: 'none' }
 })
 
 export type EventName = keyof typeof eventCatalogue
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -1,3 +1,5 @@
 /** Decision logic of the fleet, without sockets, clocks or processes. */
 export * from './shared/verdict/index.ts'
 export * from './shared/fleet/index.ts'
+export * from './shared/admission/index.ts'
+export * from './shared/slices/index.ts'
--- /dev/null
+++ b/packages/policy/src/shared/admission/index.ts
@@ -0,0 +1,1 @@
+export { AdmissionQueue, type AdmissionOptions, type Offer, type WaitingRequest } from './admissionQueue.ts'
