--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -2,5 +2,7 @@
 export * from './shared/verdict/index.ts'
 export * from './shared/fleet/index.ts'
 export * from './shared/budget/index.ts'
+export * from './shared/admission/index.ts'
+export * from './shared/slices/index.ts'
 export * from './shared/records/index.ts'
 export * from './shared/rollout/index.ts'
