Add caller path of the router

Cause: the router had interfaces between its plug-ins and no listener.

Change: caller listener and control listener; forwarding with undici's dispatch interface, which gives 102 responses, trailers and pause and resume without a stream object per answer; re-attach after silent or broken connections; endpoint choice, retry budget, hedging and crash evidence as decision logic in policy. A handler of the control registry may be registered alone, because the evidence part has calls of two plug-ins.

Ruled out: fetch-style responses through h3 on the caller side. They copy each chunk through a web stream and hide when a caller has stopped reading. h3 ends a response that is open when its handler returns, so breaking an answer off waits until the connection is closed; a test holds that.

Conclusion: models and plain calls are served; claims use an assumed layout until the endpoint side lands.

--- /dev/null
+++ b/packages/policy/src/shared/crash/index.ts
@@ -0,0 +1,1 @@
+export { CrashEvidence, type StoredCrash, type StoredCrashes } from './crashEvidence.ts'
--- /dev/null
+++ b/packages/policy/src/shared/routing/index.ts
@@ -0,0 +1,7 @@
+export { chooseEndpoint, type ChoiceInput } from './chooseEndpoint.ts'
+export { createHasher, type Hasher } from './hasher.ts'
+export { HashRing } from './hashRing.ts'
+export { averageOthersShare, loadShare, type Candidate, type LoadReport } from './loadEstimate.ts'
+export { matchCall } from './matchCall.ts'
+export { rankByRendezvous } from './rendezvous.ts'
+export { localSubsetSize, remoteSubsetSize, subsetFor } from './subset.ts'
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -3,3 +3,6 @@
   budgetServiceKey, configServiceKey, controlRegistryKey, recordServiceKey, versionServiceKey, type BudgetService,
   type ConfigService, type ControlRegistry, type HeldReservation, type RecordService, type RefusalDraft, type VersionService
 } from './shared/services.ts'
+export { defaultCallerSettings, type CallerSettings } from './shared/callerSettings.ts'
+export { callerPlugin, type CallerPluginOptions } from './node/callers/callerPlugin.ts'
+export { controlPlugin, type ControlPluginOptions } from './node/control/controlPlugin.ts'
--- /dev/null
+++ b/packages/router/src/node/__tests__/routerRig.ts
@@ -0,0 +1,163 @@
+/** A router's caller path on real sockets with fakes for the services of other plug-ins. */
+import { randomBytes } from 'node:crypto'
+import { Err, Ok } from 'ts-results-es'
+import { createTracing, definePlugin, silentLog, silentMetrics, startKernel, SystemTimers, type Kernel } from '@buckthorndrift/kernel'
+import { documentsKey, membershipKey, objectStoreKey, type Documents, type Membership, type ObjectStore, type StoredObject } from '@buckthorndrift/platform'
+import type { Failure, FleetConfig } from '@buckthorndrift/policy'
+import type { BillingRecord, Member } from '@buckthorndrift/protocol'
+import {
+  budgetServiceKey, callerPlugin, configServiceKey, controlPlugin, recordServiceKey, versionServiceKey,
+  type CallerSettings, type RefusalDraft
+} from '../../index.ts'
+import type { FakeEndpoint } from './fakeEndpoint.ts'
+
+export const fleet: FleetConfig = {
+  services: {
+    desk: {
+      kind: 'plain',
+      name: 'desk',
+      dependsOn: [],
+      versions: [{ name: 'v1' }],
+      endpointLimit: 8,
+      calls: [
+        { route: 'POST /bookings', method: 'POST', path: '/bookings', idempotent: false, priceTokens: 20 },
+        { route: 'GET /chambers/*', method: 'GET', path: '/chambers/*', idempotent: true, priceTokens: 1 }
+      ]
+    },
+    bot: { kind: 'model', name: 'bot', dependsOn: [], versions: [{ name: 'v1' }], endpointLimit: 8, maxOutputTokens: 100 }
+  }
+}
+
+/** Documents and object store of one process in memory. */
+function fakePlatform (): { documents: Documents, store: ObjectStore, objects: Map<string, StoredObject> } {
+  const objects = new Map<string, StoredObject>()
+  const listeners = new Set<(document: StoredObject) => void>()
+  const store = {
+    read: async name => Ok(objects.get(name)),
+    write: async (name, value, expectedVersion) => {
+      const version = objects.get(name)?.version ?? 0
+      if (version !== expectedVersion) return Err({ kind: 'conflict' as const, version })
+      objects.set(name, { name, version: version + 1, value })
+      return Ok(version + 1)
+    }
+  } as Partial<ObjectStore> as ObjectStore
+  const documents: Documents = {
+    get: name => objects.get(name),
+    subscribe (_, listener) { listeners.add(listener); return () => { listeners.delete(listener) } },
+    learn (document) { for (const listener of listeners) listener(document) },
+    refresh: async name => Ok(objects.get(name))
+  }
+  return { documents, store, objects }
+}
+
+export interface Rig {
+  readonly url: string
+  readonly controlUrl: string
+  readonly kernel: Kernel
+  readonly bills: BillingRecord[]
+  readonly refusals: RefusalDraft[]
+  readonly settled: { readonly seq: number, readonly tokens: number }[]
+  readonly observed: { readonly version: string, readonly isSuccess: boolean }[]
+  readonly suspected: Set<string>
+  readonly objects: Map<string, StoredObject>
+  /** Reservations that fail. */
+  budgetFailure: Failure | undefined
+  canAdmit: boolean
+  members: Member[]
+  changed (): void
+  stop (): Promise<void>
+}
+
+export interface RigOptions {
+  readonly endpoints: readonly FakeEndpoint[]
+  readonly settings?: Partial<CallerSettings>
+  readonly routers?: readonly Member[]
+}
+
+/** Starts the plug-ins of the caller path. */
+export async function startRig ({ endpoints, settings = {}, routers = [] }: RigOptions): Promise<Rig> {
+  const { documents, store, objects } = fakePlatform()
+  const owner = endpoints[0]?.member
+  const ref = owner === undefined ? undefined : { id: owner.id, incarnation: owner.incarnation, url: owner.controlUrl }
+  objects.set('claims/desk', { name: 'claims/desk', version: 1, value: { shards: [{ owner: ref, witness: ref, epoch: 1 }] } })
+  const ports = { caller: 0, control: 0 }
+  const listeners = new Set<() => void>()
+  const self: Member = {
+    id: `r${randomBytes(3).toString('hex')}`,
+    incarnation: '1',
+    role: 'router',
+    vm: 'vm-r',
+    failureDomain: 'a',
+    get controlUrl () { return `http://127.0.0.1:${ports.control}` },
+    leaving: false
+  }
+  const rig = {
+    bills: [],
+    refusals: [],
+    settled: [],
+    observed: [],
+    suspected: new Set<string>(),
+    objects,
+    budgetFailure: undefined,
+    canAdmit: true,
+    members: endpoints.map(endpoint => endpoint.member),
+    changed () { for (const listener of listeners) listener() }
+  } as unknown as Rig
+  const membership: Membership = {
+    self,
+    routers: () => [self, ...routers],
+    endpoints: service => rig.members.filter(member => service === undefined || member.service === service),
+    noteUnreachable: id => { rig.suspected.add(id) },
+    noteAlive: id => { rig.suspected.delete(id) },
+    isSuspected: id => rig.suspected.has(id),
+    subscribe (listener) { listeners.add(listener); return () => { listeners.delete(listener) } }
+  }
+  let seq = 0
+  const fakes = definePlugin({
+    name: 'fakes',
+    setup (context) {
+      context.provide(membershipKey, membership)
+      context.provide(documentsKey, documents)
+      context.provide(objectStoreKey, store)
+      context.provide(budgetServiceKey, {
+        reserve: async (_, tokens) => rig.budgetFailure === undefined
+          ? Ok({ reservation: { holder: `${self.id}.1`, shard: 0, seq: ++seq, tokens }, settledSeq: 0 })
+          : Err(rig.budgetFailure),
+        settle (_, reservation, tokens) { rig.settled.push({ seq: reservation.seq, tokens }) }
+      })
+      context.provide(recordServiceKey, {
+        canAdmit: () => rig.canAdmit,
+        bill: record => { rig.bills.push(record) },
+        refuse: async draft => `account.${rig.refusals.push(draft)}`
+      })
+      context.provide(configServiceKey, {
+        fleet: () => fleet,
+        findKey: key => key === 'key-1' ? { organisation: 'org', budget: 'main' } : undefined
+      })
+      context.provide(versionServiceKey, {
+        pick: () => 'v1',
+        observe: (_, version, _route, isSuccess) => { rig.observed.push({ version, isSuccess }) }
+      })
+      return undefined
+    }
+  })
+  const options = { host: '127.0.0.1', port: 0, fleetSecret: 'secret' }
+  const kernel = await startKernel({
+    timers: new SystemTimers(),
+    log: silentLog,
+    metrics: silentMetrics,
+    plugins: [
+      fakes,
+      controlPlugin({ ...options, onListening: port => { ports.control = port } }),
+      callerPlugin({ ...options, settings, random: Math.random, tracing: createTracing({ serviceName: 'router' }), onListening: port => { ports.caller = port } })
+    ]
+  })
+  return Object.assign(rig, {
+    kernel, url: `http://127.0.0.1:${ports.caller}`, controlUrl: `http://127.0.0.1:${ports.control}`, stop: () => kernel.stop()
+  })
+}
+
+/** Headers of a caller with a valid key. */
+export function callerHeaders (extra: Readonly<Record<string, string>> = {}): Record<string, string> {
+  return { authorization: 'Bearer key-1', 'content-type': 'application/json', ...extra }
+}
--- /dev/null
+++ b/packages/router/src/node/callers/callerPlugin.ts
@@ -0,0 +1,87 @@
+/** Caller listener of a router: HTTP/1.1 for callers with an API key. */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { fromNodeHandler, H3, toNodeHandler, type EventHandler } from 'h3'
+import { definePlugin, type Plugin, type PluginContext, type Tracing } from '@buckthorndrift/kernel'
+import { defaultCallerSettings, type CallerSettings } from '../../shared/callerSettings.ts'
+import { configServiceKey, recordServiceKey } from '../../shared/services.ts'
+import { createForwarding } from '../forward/forwarding.ts'
+import { finishListening, listen, stopListening } from '../listening.ts'
+import { CallerHandler } from './callerHandler.ts'
+
+export interface CallerPluginOptions {
+  readonly host: string
+  /** 0 takes a free port. */
+  readonly port: number
+  readonly fleetSecret: string
+  readonly tracing: Tracing
+  readonly settings?: Partial<CallerSettings>
+  /** Uniform in [0, 1). */
+  readonly random: () => number
+  /** Called with the bound port when the listener is open. */
+  readonly onListening?: (port: number) => void
+}
+
+/** Above the idle timeout of usual load balancers, which should be the side that closes. */
+const keepAliveTimeoutMs = 65_000
+/** Interval at which the time limits of unfinished requests are checked. */
+const limitCheckMs = 2000
+
+/** Handlers work on Node's request and response, which give backpressure; this listener speaks HTTP/1.1 only. */
+function nodeHandler (handle: (request: IncomingMessage, response: ServerResponse) => Promise<void>): EventHandler {
+  return fromNodeHandler((request, response) => handle(request as IncomingMessage, response as ServerResponse))
+}
+
+function serverFor (handler: CallerHandler, settings: CallerSettings): Server {
+  const app = new H3()
+    .post('/v1/chat/completions', nodeHandler((request, response) => handler.chat(request, response)))
+    .all('/services/**', nodeHandler((request, response) => handler.service(request, response)))
+    .all('/**', nodeHandler((request, response) => handler.unknown(request, response)))
+  const server = createServer({
+    maxHeaderSize: settings.maxHeaderBytes,
+    headersTimeout: settings.headersTimeoutMs,
+    requestTimeout: settings.requestTimeoutMs,
+    connectionsCheckingInterval: limitCheckMs,
+    keepAliveTimeout: keepAliveTimeoutMs,
+    highWaterMark: settings.streamBufferBytes,
+    noDelay: true
+  }, toNodeHandler(app))
+  server.maxConnections = settings.maxConnections
+  return server
+}
+
+/** Creates the plug-in; it uses budget, records, configuration, versions, membership, documents and the control registry. */
+export function callerPlugin (options: CallerPluginOptions): Plugin {
+  return definePlugin({
+    name: 'callers',
+    async setup (context: PluginContext) {
+      const settings: CallerSettings = { ...defaultCallerSettings, ...options.settings }
+      const forwarding = await createForwarding({ ...options, context, settings })
+      let isDraining = false
+      const handler = new CallerHandler({
+        config: context.use(configServiceKey),
+        records: context.use(recordServiceKey),
+        run: forwarding.deps,
+        isDraining: () => isDraining
+      })
+      const server = serverFor(handler, settings)
+      return {
+        async ready () {
+          await listen(server, options.port, options.host)
+          const { port } = server.address() as AddressInfo
+          context.log.event('callersListening', { port })
+          options.onListening?.(port)
+        },
+        async drain () {
+          isDraining = true
+          await finishListening(server)
+          await forwarding.drain()
+        },
+        async close () {
+          await stopListening(server)
+          await forwarding.close()
+        }
+      }
+    }
+  })
+}
--- /dev/null
+++ b/packages/router/src/node/forward/crashWatch.ts
@@ -0,0 +1,65 @@
+/** Requests of this router that are running, by endpoint, and the crash evidence they give. */
+import { CrashEvidence } from '@buckthorndrift/policy'
+import type { TimerService } from '@buckthorndrift/kernel'
+import type { CrashReportInput, Member } from '@buckthorndrift/protocol'
+import { entryKey } from './endpointBook.ts'
+
+/** Deaths remembered, so that the failures of each count as one crash. */
+const maxDeaths = 1000
+/** Number of the crash in reports of a process death, above those that an endpoint process gives to its back end's. */
+const processDeath = 2 ** 40
+
+export class CrashWatch {
+  readonly evidence = new CrashEvidence()
+  readonly #timers: TimerService
+  readonly #running = new Map<string, Map<string, string>>()
+  readonly #deaths = new Set<string>()
+  /** Called when this router saw a process die. */
+  onDeath: (report: CrashReportInput) => void = () => {}
+  /** Called when a content was cleared. */
+  onCleared: () => void = () => {}
+
+  constructor (timers: TimerService) {
+    this.#timers = timers
+  }
+
+  isSuspect (contentHash: string): boolean {
+    return this.evidence.isSuspect(contentHash)
+  }
+
+  /** Notes that a request was sent to an endpoint; the returned function ends it. */
+  begin (endpoint: Member, requestId: string, contentHash: string): () => void {
+    const key = entryKey(endpoint)
+    const running = this.#running.get(key) ?? new Map<string, string>()
+    this.#running.set(key, running)
+    running.set(requestId, contentHash)
+    return () => {
+      running.delete(requestId)
+      if (running.size === 0 && this.#running.get(key) === running) this.#running.delete(key)
+    }
+  }
+
+  /** Notes that an endpoint process died with what this router had running there; counts once per life. */
+  noteDeath (endpoint: Member): void {
+    const key = entryKey(endpoint)
+    const running = this.#running.get(key)
+    if (running === undefined || this.#deaths.has(key)) return
+    this.#deaths.add(key)
+    if (this.#deaths.size > maxDeaths) this.#deaths.delete(this.#deaths.values().next().value as string)
+    const report: CrashReportInput = {
+      endpointId: endpoint.id, incarnation: endpoint.incarnation, crash: processDeath, contentHashes: [...new Set(running.values())]
+    }
+    if (this.note(report)) this.onDeath(report)
+  }
+
+  /** Notes a report; several reports of one crash count once. True when there was news. */
+  note (report: CrashReportInput): boolean {
+    const crashId = `${report.endpointId}.${report.incarnation}.${report.crash}`
+    return this.evidence.note(crashId, report.contentHashes, this.#timers.nowMs())
+  }
+
+  /** Notes that a content completed. */
+  complete (contentHash: string): void {
+    if (this.evidence.clear(contentHash)) this.onCleared()
+  }
+}
--- a/packages/router/src/shared/services.ts
+++ b/packages/router/src/shared/services.ts
@@ -54,8 +54,9 @@
 }
 export const versionServiceKey = serviceKey<VersionService>('versions')
 
-/** Handlers of the control listener; each plug-in sets its own part in `setup`. */
+/** Handlers of the control listener; each plug-in sets its own in `setup`. */
 export interface ControlRegistry {
-  register<Part extends keyof RouterControlHandlers> (part: Part, handlers: RouterControlHandlers[Part]): void
+  /** Two plug-ins may share a part; throws when a handler is registered already. */
+  register<Part extends keyof RouterControlHandlers> (part: Part, handlers: Partial<RouterControlHandlers[Part]>): void
 }
 export const controlRegistryKey = serviceKey<ControlRegistry>('control')
