--- a/packages/kernel/src/shared/eventCatalogue.ts
+++ b/packages/kernel/src/shared/eventCatalogue.ts
@@ -33,7 +33,14 @@
   refusalNotAccounted: { number: 1303, level: 'error', message: 'a refusal could not be accounted for', action: 'Report the error text; the caller has the refusal with an id that begins with unaccounted.' },
   answerReattached: { number: 1304, level: 'debug', message: 'connection to an endpoint broke or went silent; re-attaching to the answer', action: 'none' },
   crashReported: { number: 1305, level: 'warn', message: 'an endpoint reported a crash', action: 'Look at the log of the back end; the contents that were running are suspects.' },
-  endpointDied: { number: 1306, level: 'warn', message: 'an endpoint process died while it had requests', action: 'Look at the VM of the endpoint; the contents that were running are suspects.' }
+  endpointDied: { number: 1306, level: 'warn', message: 'an endpoint process died while it had requests', action: 'Look at the VM of the endpoint; the contents that were running are suspects.' },
+
+  recordsStored: { number: 1500, level: 'debug', message: 'stored a batch of records', action: 'none' },
+  recordsWaiting: { number: 1501, level: 'warn', message: 'records wait because the platform did not take them', action: 'Restore the platform. At the bound the router refuses new requests.' },
+  recordsFull: { number: 1502, level: 'error', message: 'waiting records reached their memory bound; new requests are refused', action: 'Restore the platform, or replace the router after its records were handed over.' },
+  accountsNotCopied: { number: 1503, level: 'warn', message: 'no peer router took a copy of the refusal accounts', action: 'Check the other routers; until one answers, a lost router loses its last refusal accounts.' },
+  copiesStored: { number: 1504, level: 'info', message: 'stored refusal accounts of a peer that did not store them itself', action: 'none' },
+  acknowledgeFailed: { number: 1505, level: 'debug', message: 'endpoint process could not be told that its records are stored', action: 'none; it hands them over and readers drop the duplicates.' }
 })
 
 export type EventName = keyof typeof eventCatalogue
