Harden the caller path against lost and late answers

Cause: an answer that names another request was relayed, a request that undici cannot write marked endpoints as unreachable, and a failure that the endpoint reports itself was charged at its whole reservation.

Ruled out: reserving after the claim. The time of a reservation then lies between the claim and the request it names, and an attach by a second caller in between makes the endpoint refuse the request for good. The reservation is made first and given back when the key is held; the second caller waits 50 ms before it attaches.

Conclusion: the layout of claims/<service> is still an assumption.

--- a/packages/policy/src/shared/retry/decideRetry.ts
+++ b/packages/policy/src/shared/retry/decideRetry.ts
@@ -25,7 +25,7 @@
 
 /** Reasons that another endpoint, or the same one a little later, may not have. */
 const passingReasons: ReadonlySet<FailureReason> = new Set([
-  'endpointFull', 'endpointLeaving', 'endpointLost', 'backEndFailed', 'sliceFenced', 'claimUnavailable'
+  'noEndpoint', 'endpointFull', 'endpointLeaving', 'endpointLost', 'backEndFailed', 'recordsFull', 'sliceFenced', 'claimUnavailable'
 ])
 
 /** Backoff with full jitter before attempt `attempts + 1`, in ms. */
@@ -36,7 +36,8 @@
 /** `stop` means that the caller gets the failure as it is. */
 export function decideRetry (input: RetryInput): RetryDecision {
   const { failure } = input
-  const isSafe = failure.verdict.kind === 'notRun' || input.idempotent
+  // A claim that was not granted let nothing run; its verdict is about earlier requests with the key.
+  const isSafe = failure.verdict.kind === 'notRun' || input.idempotent || failure.reason === 'claimUnavailable'
   if (!isSafe || !passingReasons.has(failure.reason) || input.attempts >= maxAttempts) return { kind: 'stop' }
   const delayMs = backoffMs(input.attempts, input.random)
   if (input.remainingMs - delayMs < minRemainingMs) return { kind: 'stop' }
--- /dev/null
+++ b/packages/policy/src/shared/routing/__tests__/routing.test.ts
@@ -0,0 +1,126 @@
+import { beforeAll, describe, expect, it } from 'vitest'
+import { chooseEndpoint, createHasher, HashRing, loadShare, matchCall, subsetFor, type Candidate, type Hasher } from '../index.ts'
+
+const limit = 8
+
+function candidate (id: string, overrides: Partial<Candidate> = {}): Candidate {
+  return { id, failureDomain: 'a', limit, report: undefined, ownInFlight: 0, avoidUntilMs: 0, isSuspected: false, ...overrides }
+}
+
+function reported (id: string, inFlight: number, overrides: Partial<Candidate & { atMs: number, leaving: boolean, healthy: boolean }> = {}): Candidate {
+  const { atMs = 0, leaving = false, healthy = true, ...rest } = overrides
+  return candidate(id, { report: { inFlight, limit, queued: 0, leaving, healthy, atMs, ownInFlight: 0 }, ...rest })
+}
+
+/** Deterministic numbers in [0, 1) that cover the range evenly. */
+function sequence (): () => number {
+  let step = 0
+  return () => (++step * 0.6180339887) % 1
+}
+
+function choose (candidates: readonly Candidate[], options: { affinity?: readonly string[], tried?: readonly string[], nowMs?: number, random?: () => number } = {}): string | undefined {
+  const { affinity = [], tried = [], nowMs = 0, random = sequence() } = options
+  return chooseEndpoint({ candidates, failureDomain: 'a', affinity, tried: new Set(tried), nowMs, random })
+}
+
+function counts (candidates: readonly Candidate[], nowMs = 0): Record<string, number> {
+  const random = sequence()
+  const result: Record<string, number> = {}
+  for (let index = 0; index < 1000; index++) {
+    const id = choose(candidates, { random, nowMs }) ?? 'none'
+    result[id] = (result[id] ?? 0) + 1
+  }
+  return result
+}
+
+describe('endpoint choice', () => {
+  it('never takes the more loaded of two', () => {
+    expect(counts([reported('busy', 7), reported('free', 1)])).toEqual({ free: 1000 })
+  })
+
+  it('leaves out leaving and unhealthy endpoints at once', () => {
+    expect(choose([reported('leaving', 0, { leaving: true }), reported('ill', 0, { healthy: false })])).toBeUndefined()
+    expect(counts([reported('leaving', 0, { leaving: true }), reported('ill', 0, { healthy: false }), reported('c', 7)])).toEqual({ c: 1000 })
+  })
+
+  it('tries an unhealthy endpoint again later, because only an answer shows that it recovered', () => {
+    expect(choose([reported('ill', 0, { healthy: false })], { nowMs: 3000 })).toBe('ill')
+  })
+
+  it('avoids an endpoint that refused as full, until the moment has passed', () => {
+    const candidates = [candidate('full', { avoidUntilMs: 100 }), reported('other', 7)]
+    expect(counts(candidates, 50)).toEqual({ other: 1000 })
+    expect(counts(candidates, 200)['full']).toBeGreaterThan(0)
+  })
+
+  it('takes a suspected or tried endpoint rather than none', () => {
+    expect(choose([candidate('x', { isSuspected: true })])).toBe('x')
+    expect(choose([candidate('x')], { tried: ['x'] })).toBe('x')
+    expect(counts([candidate('x', { isSuspected: true }), candidate('y')])).toEqual({ y: 1000 })
+  })
+
+  it('prefers the own failure domain until requests would wait there', () => {
+    const remote = reported('remote', 0, { failureDomain: 'b' })
+    expect(counts([reported('local', 5), remote])).toEqual({ local: 1000 })
+    expect(counts([reported('local', 12), remote])).toEqual({ remote: 1000 })
+  })
+
+  it('spreads over all endpoints when no report is known', () => {
+    const spread = counts(['a', 'b', 'c', 'd'].map(id => candidate(id)))
+    for (const id of ['a', 'b', 'c', 'd']) expect(spread[id]).toBeGreaterThan(100)
+  })
+
+  it('counts an unknown load as average, and an old report less and less', () => {
+    const old = reported('old', 8)
+    expect(loadShare(old, 0.25, 0)).toBe(1)
+    expect(loadShare(old, 0.25, 60_000)).toBeCloseTo(0.25)
+    expect(loadShare(candidate('unknown', { ownInFlight: 4 }), 0.25, 0)).toBe(0.75)
+  })
+
+  it('does not count own requests twice that the report contains', () => {
+    const busy = candidate('x', { ownInFlight: 4, report: { inFlight: 4, limit, queued: 0, leaving: false, healthy: true, atMs: 0, ownInFlight: 4 } })
+    expect(loadShare(busy, 0, 0)).toBe(0.5)
+  })
+
+  it('keeps a prefix at its endpoint up to the bound and moves it on above', () => {
+    const affinity = ['home', 'next']
+    expect(choose([reported('home', 3), reported('next', 0), reported('c', 0)], { affinity })).toBe('home')
+    expect(choose([reported('home', 7), reported('next', 1), reported('c', 0)], { affinity })).toBe('next')
+  })
+})
+
+describe('placement', () => {
+  let hasher: Hasher
+  beforeAll(async () => { hasher = await createHasher() })
+
+  it('moves only the prefixes of an endpoint that leaves', () => {
+    const ids = Array.from({ length: 20 }, (_, index) => `e${index}`)
+    const before = new HashRing(hasher, ids)
+    const after = new HashRing(hasher, ids.slice(1))
+    for (let key = 0; key < 500; key++) {
+      const [home] = before.successors(hasher(`p${key}`), 1)
+      if (home !== 'e0') expect(after.successors(hasher(`p${key}`), 1)).toEqual([home])
+    }
+  })
+
+  it('covers every endpoint by the subsets of the routers', () => {
+    const endpoints = Array.from({ length: 200 }, (_, index) => ({ id: `e${index}`, failureDomain: 'abcd'[index % 4] as string }))
+    const covered = new Map<string, number>()
+    for (let router = 0; router < 100; router++) {
+      for (const { id } of subsetFor(hasher, `r${router}`, 'abcd'[router % 4] as string, endpoints)) covered.set(id, (covered.get(id) ?? 0) + 1)
+    }
+    expect(covered.size).toBe(200)
+    expect(Math.max(...covered.values())).toBeLessThan(4 * Math.min(...covered.values()))
+  })
+})
+
+describe('matching of calls', () => {
+  const calls = ['/chambers/*', '/chambers/all'].map(path => ({ route: `GET ${path}`, method: 'GET', path, idempotent: true, priceTokens: 1 }))
+
+  it('matches one segment per wildcard and prefers literal segments', () => {
+    expect(matchCall(calls, 'GET', '/chambers/7')?.route).toBe('GET /chambers/*')
+    expect(matchCall(calls, 'GET', '/chambers/all')?.route).toBe('GET /chambers/all')
+    for (const path of ['/chambers', '/chambers/', '/chambers/7/8']) expect(matchCall(calls, 'GET', path)).toBeUndefined()
+    expect(matchCall(calls, 'POST', '/chambers/7')).toBeUndefined()
+  })
+})
--- a/packages/router/src/node/__tests__/fakeEndpoint.ts
+++ b/packages/router/src/node/__tests__/fakeEndpoint.ts
@@ -2,7 +2,7 @@
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http'
 import type { AddressInfo, Socket } from 'node:net'
 import {
-  callHeader, callSchema, createControlHandler, createEndpointControl, loadHeader, settlementTrailer, verdictHeader,
+  callHeader, callSchema, requestIdHeader, createControlHandler, createEndpointControl, loadHeader, settlementTrailer, verdictHeader,
   type Call, type ClaimHandlers, type ClaimInput, type ClaimOutput, type Load, type Member, type Settlement
 } from '@buckthorndrift/protocol'
 import { H3, toNodeHandler } from 'h3'
@@ -115,6 +115,7 @@
     const parts: Buffer[] = []
     for await (const part of request) parts.push(part as Buffer)
     const call = callSchema.parse(JSON.parse(String(request.headers[callHeader])))
+    response.setHeader(requestIdHeader, call.requestId)
     const received = { call, request, response, body: Buffer.concat(parts).toString() }
     this.received.push(received)
     await this.script(received)
@@ -129,6 +130,7 @@
     }
     const offset = Number(url.searchParams.get('offset'))
     this.attached.push({ requestId, offset })
+    response.setHeader(requestIdHeader, requestId)
     await this.attachScript(requestId, offset, response)
   }
 
--- a/packages/router/src/node/callers/callerPlugin.ts
+++ b/packages/router/src/node/callers/callerPlugin.ts
@@ -74,7 +74,7 @@
         },
         async drain () {
           isDraining = true
-          await finishListening(server)
+          await finishListening(server, context.timers)
           await forwarding.drain()
         },
         async close () {
--- /dev/null
+++ b/packages/router/src/node/forward/__tests__/crashes.test.ts
@@ -0,0 +1,70 @@
+import { afterEach, describe, expect, it } from 'vitest'
+import { createRouterClient } from '@buckthorndrift/protocol'
+import { answer, FakeEndpoint } from '../../__tests__/fakeEndpoint.ts'
+import { callerHeaders, startRig, type Rig } from '../../__tests__/routerRig.ts'
+
+describe('requests that crash endpoints', () => {
+  let opened: FakeEndpoint[]
+  let rig: Rig
+
+  async function start (count: number): Promise<void> {
+    opened = Array.from({ length: count }, (_, index) => new FakeEndpoint(`e${index}`))
+    for (const endpoint of opened) {
+      await endpoint.open()
+      endpoint.script = async ({ body, call, response }) => {
+        if (body.includes('poison')) await endpoint.kill()
+        else answer(response, call.requestId, 'fine')
+      }
+    }
+    rig = await startRig({ endpoints: opened })
+  }
+
+  afterEach(async () => {
+    await rig.stop()
+    for (const endpoint of opened) await endpoint.kill()
+  })
+
+  function book (body: string): Promise<Response> {
+    return fetch(`${rig.url}/services/desk/bookings`, { method: 'POST', headers: callerHeaders(), body })
+  }
+
+  function touched (): number {
+    return opened.filter(endpoint => endpoint.received.some(received => received.body.includes('poison'))).length
+  }
+
+  it('refuses a content after two endpoints died under it, however often its caller sends it', async () => {
+    await start(5)
+    const statuses: number[] = []
+    for (let index = 0; index < 6; index++) statuses.push((await book('poison')).status)
+    expect(statuses).toEqual([502, 422, 422, 422, 422, 422])
+    expect(touched()).toBe(2)
+    expect((await book('harmless')).status).toBe(200)
+  })
+
+  it('stops the retries of an idempotent call after two endpoints died', async () => {
+    await start(5)
+    for (const endpoint of opened) endpoint.script = async () => { await endpoint.kill() }
+    const response = await fetch(`${rig.url}/services/desk/chambers/1`, { headers: callerHeaders() })
+    expect(response.status).toBe(422)
+    expect(response.headers.get('bd-verdict')).toBe('mayHaveRun')
+    expect(opened.filter(endpoint => endpoint.received.length > 0)).toHaveLength(2)
+  })
+
+  it('takes the reports of endpoint processes, counts a repeated report once, and stores the evidence', async () => {
+    await start(1)
+    const client = createRouterClient({ url: rig.controlUrl, fleetSecret: 'secret', timeoutMs: 1000 })
+    await book('text')
+    const contentHash = opened[0]?.received[0]?.call.contentHash as string
+    const report = { endpointId: 'x', incarnation: '1', crash: 1, contentHashes: [contentHash] }
+    await client.evidence.reportCrash.mutate(report)
+    await client.evidence.reportCrash.mutate(report)
+    expect((await book('text')).status).toBe(200)
+    await client.evidence.reportCrash.mutate({ ...report, crash: 2 })
+    // The completion after the first crash cleared the content, so one crash counts.
+    expect((await book('text')).status).toBe(200)
+    await client.evidence.reportCrash.mutate({ ...report, crash: 3 })
+    await client.evidence.reportCrash.mutate({ ...report, crash: 4 })
+    expect((await book('text')).status).toBe(422)
+    await expect.poll(() => rig.objects.get('crashes')?.value).toMatchObject({ crashes: expect.arrayContaining([expect.objectContaining({ id: 'x.1.4' })]) })
+  })
+})
--- /dev/null
+++ b/packages/router/src/node/forward/__tests__/streams.test.ts
@@ -0,0 +1,215 @@
+import { connect, type Socket } from 'node:net'
+import type { ServerResponse } from 'node:http'
+import { setTimeout as delay } from 'node:timers/promises'
+import { afterEach, describe, expect, it } from 'vitest'
+import { settlementTrailer } from '@buckthorndrift/protocol'
+import { answer, FakeEndpoint, finish, refuse } from '../../__tests__/fakeEndpoint.ts'
+import { callerHeaders, startRig, type Rig, type RigOptions } from '../../__tests__/routerRig.ts'
+
+const chat = { model: 'bot', stream: true, messages: [{ role: 'user', content: 'x' }] }
+
+function beginStream (response: ServerResponse): void {
+  response.writeHead(200, { 'content-type': 'text/event-stream', trailer: settlementTrailer })
+}
+
+describe('streams between endpoint and caller', () => {
+  const opened: FakeEndpoint[] = []
+  let rig: Rig
+
+  async function start (endpoints: FakeEndpoint[], options: Omit<RigOptions, 'endpoints'> = {}): Promise<void> {
+    for (const endpoint of endpoints) opened.push(await endpoint.open())
+    rig = await startRig({ endpoints, ...options })
+  }
+
+  afterEach(async () => {
+    await rig.stop()
+    for (const endpoint of opened.splice(0)) await endpoint.kill()
+  })
+
+  function stream (): Promise<Response> {
+    return fetch(`${rig.url}/v1/chat/completions`, { method: 'POST', headers: callerHeaders(), body: JSON.stringify(chat) })
+  }
+
+  describe('re-attach', () => {
+    const whole = 'data: one\n\ndata: two\n\n'
+
+    function resumeAt (endpoint: FakeEndpoint): void {
+      endpoint.attachScript = (requestId, offset, response) => {
+        beginStream(response)
+        response.write(whole.slice(offset))
+        finish(response, requestId, { tokens: 2 })
+      }
+    }
+
+    it('continues a stream whose connection broke, without a gap or a repeat', async () => {
+      const endpoint = new FakeEndpoint('e1', { service: 'bot' })
+      endpoint.script = ({ response }) => {
+        beginStream(response)
+        response.write(whole.slice(0, 7), () => { setTimeout(() => { response.destroy() }, 20) })
+      }
+      resumeAt(endpoint)
+      await start([endpoint])
+      expect(await (await stream()).text()).toBe(whole)
+      expect(endpoint.attached).toEqual([{ requestId: endpoint.received[0]?.call.requestId, offset: 7 }])
+      expect(rig.bills).toMatchObject([{ tokens: 2, outcome: 'completed' }])
+    })
+
+    it('continues a stream whose connection went silent', async () => {
+      const endpoint = new FakeEndpoint('e1', { service: 'bot' })
+      endpoint.script = ({ response }) => {
+        beginStream(response)
+        response.write(whole.slice(0, 7))
+      }
+      resumeAt(endpoint)
+      await start([endpoint], { settings: { silenceMs: 200 } })
+      expect(await (await stream()).text()).toBe(whole)
+      expect(endpoint.attached).toHaveLength(1)
+    })
+
+    it('waits on for a silent stream while 102 responses arrive', async () => {
+      const endpoint = new FakeEndpoint('e1', { service: 'bot' })
+      endpoint.script = async ({ call, response }) => {
+        for (let beat = 0; beat < 8; beat++) {
+          await delay(60)
+          response.writeProcessing()
+        }
+        beginStream(response)
+        response.write(whole)
+        finish(response, call.requestId)
+      }
+      await start([endpoint], { settings: { silenceMs: 200 } })
+      expect(await (await stream()).text()).toBe(whole)
+      expect(endpoint.attached).toHaveLength(0)
+    })
+
+    it('repeats no call that the endpoint may still hold: it is told "not run" first', async () => {
+      const endpoint = new FakeEndpoint('e1')
+      let calls = 0
+      endpoint.script = ({ call, response }) => {
+        if (++calls === 1) response.destroy()
+        else answer(response, call.requestId, 'second')
+      }
+      await start([endpoint])
+      const response = await fetch(`${rig.url}/services/desk/bookings`, { method: 'POST', headers: callerHeaders(), body: '{}' })
+      expect(await response.text()).toBe('second')
+      const ids = endpoint.received.map(received => received.call.requestId)
+      expect(endpoint.attached).toEqual([{ requestId: ids[0], offset: 0 }])
+      expect(ids[1]).not.toBe(ids[0])
+    })
+
+    it('takes an answer that names another request for none, so that nobody gets a foreign answer', async () => {
+      const endpoint = new FakeEndpoint('e1')
+      endpoint.script = ({ response }) => {
+        response.setHeader('bd-request-id', 'r9.1.1')
+        answer(response, 'r9.1.1', 'foreign')
+      }
+      endpoint.attachScript = (requestId, _, response) => { answer(response, requestId, 'own') }
+      await start([endpoint])
+      const response = await fetch(`${rig.url}/services/desk/chambers/1`, { headers: callerHeaders() })
+      expect(await response.text()).toBe('own')
+    })
+
+    it('does not let an answer look whole that the back end broke off', async () => {
+      const endpoint = new FakeEndpoint('e1', { service: 'bot' })
+      endpoint.script = ({ call, response }) => {
+        beginStream(response)
+        response.write('data: one\n\n')
+        finish(response, call.requestId, { tokens: 1, outcome: 'failed' })
+      }
+      await start([endpoint])
+      await expect((await stream()).text()).rejects.toThrow()
+      expect(rig.bills).toMatchObject([{ tokens: 1, outcome: 'failed' }])
+      expect(rig.observed).toEqual([{ version: 'v1', isSuccess: false }])
+    })
+  })
+
+  describe('slow callers', () => {
+    const chunk = Buffer.alloc(16 * 1024, 'x')
+    const chunks = 1000
+
+    /** A caller that sends its request and reads nothing. */
+    function openSlow (): Promise<Socket> {
+      const body = JSON.stringify(chat)
+      const socket = connect({ port: Number(new URL(rig.url).port), host: '127.0.0.1' })
+      socket.pause()
+      socket.write(`POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer key-1\r\ncontent-length: ${body.length}\r\n\r\n${body}`)
+      return new Promise(resolve => { socket.once('connect', () => { resolve(socket) }) })
+    }
+
+    it('stops the endpoint instead of keeping the answer, and slows no other caller', async () => {
+      const endpoint = new FakeEndpoint('e1', { service: 'bot' })
+      const sent = new Map<string, number>()
+      endpoint.script = async ({ call, response }) => {
+        beginStream(response)
+        for (let index = 0; index < chunks && !response.destroyed; index++) {
+          sent.set(call.requestId, index * chunk.length)
+          if (!response.write(chunk)) await new Promise(resolve => { response.once('drain', resolve) })
+        }
+        finish(response, call.requestId)
+      }
+      await start([endpoint], { settings: { silenceMs: 200 } })
+      const slow = await openSlow()
+      await expect.poll(() => sent.size).toBe(1)
+      const fast = await (await stream()).arrayBuffer()
+      expect(fast.byteLength).toBe(chunks * chunk.length)
+      // Only what sockets hold has left the endpoint for the slow caller; the silence limit has passed for its stream.
+      await delay(400)
+      const [slowSent = 0] = [...sent.values()]
+      expect(slowSent).toBeLessThan(chunks * chunk.length * 0.9)
+      expect(endpoint.attached).toHaveLength(0)
+      slow.destroy()
+    })
+  })
+
+  describe('graceful shutdown', () => {
+    it('finishes an open stream and takes no new connection', async () => {
+      const endpoint = new FakeEndpoint('e1', { service: 'bot' })
+      let release: () => void = () => {}
+      endpoint.script = ({ call, response }) => {
+        beginStream(response)
+        response.write('data: one\n\n')
+        release = () => {
+          response.write('data: two\n\n')
+          finish(response, call.requestId)
+        }
+      }
+      await start([endpoint])
+      const response = await stream()
+      const stopping = rig.stop()
+      await expect.poll(() => fetch(`${rig.url}/services/desk/chambers/1`).then(() => 'open', () => 'closed')).toBe('closed')
+      release()
+      expect(await response.text()).toBe('data: one\n\ndata: two\n\n')
+      await stopping
+      expect(rig.bills).toHaveLength(1)
+    })
+  })
+
+  describe('hedges', () => {
+    it('repeats a late idempotent plain call at another endpoint and bills it once', async () => {
+      const first = new FakeEndpoint('e1')
+      const second = new FakeEndpoint('e2')
+      let isStuck = false
+      first.script = ({ call, response }) => { if (!isStuck) answer(response, call.requestId, 'ok') }
+      await start([first, second])
+      const read = async (): Promise<string> => (await fetch(`${rig.url}/services/desk/chambers/1`, { headers: callerHeaders() })).text()
+      for (let index = 0; index < 80; index++) await read()
+      isStuck = true
+      // Without a hedge a call at the stuck endpoint would go on only by an attach after the silence limit.
+      for (let index = 0; index < 6; index++) expect(await read()).toContain('ok')
+      expect(first.attached).toHaveLength(0)
+      expect(new Set(rig.bills.map(bill => bill.requestId)).size).toBe(86)
+      expect(rig.settled).toHaveLength(86)
+    })
+  })
+
+  it('leaves an endpoint out as soon as it says it is leaving', async () => {
+    const leaving = new FakeEndpoint('e1')
+    leaving.script = ({ response }) => { refuse(response, 'endpointLeaving', 'notRun', 503, { leaving: true }) }
+    await start([leaving, new FakeEndpoint('e2')])
+    for (let index = 0; index < 10; index++) {
+      const response = await fetch(`${rig.url}/services/desk/bookings`, { method: 'POST', headers: callerHeaders(), body: '{}' })
+      expect(response.status).toBe(200)
+    }
+    expect(leaving.received.length).toBeLessThanOrEqual(1)
+  })
+})
--- a/packages/router/src/node/forward/attempt.ts
+++ b/packages/router/src/node/forward/attempt.ts
@@ -6,7 +6,7 @@
 import { Err, Ok, type Result } from 'ts-results-es'
 import type { TimerService } from '@buckthorndrift/kernel'
 import { mayHaveRun, notRun, ran, type Failure } from '@buckthorndrift/policy'
-import { loadHeader, verdictHeader, type Member, type Settlement } from '@buckthorndrift/protocol'
+import { loadHeader, requestIdHeader, verdictHeader, type Member, type Settlement } from '@buckthorndrift/protocol'
 import type { EndpointPools } from './endpointPools.ts'
 import type { SilenceWatch } from './silenceWatch.ts'
 import { Upstream, type ChunkSink, type UpstreamFailure, type UpstreamHead } from './upstream.ts'
@@ -35,7 +35,7 @@
   readonly idempotent: boolean
 }
 
-/** `settlement` is known for refusals that say what they cost. */
+/** `settlement` is `undefined` when the cost cannot be known. */
 export interface AttemptFailure {
   readonly failure: Failure
   readonly settlement: Settlement | undefined
@@ -86,7 +86,11 @@
     const pool = this.#deps.pools.get(this.endpoint)
     this.#upstream = this.#exchange(pool, method, path, headers, body)
     const head = await this.#upstream.head
-    if (head.isOk()) return this.#accept(head.value)
+    if (head.isOk()) {
+      // An answer to something else, such as one of Node's own to headers that are too long, is nobody's answer.
+      return this.#isOwn(head.value) ? this.#accept(head.value) : this.#recover({ kind: 'broken', detail: 'the answer names no request' })
+    }
+    if (head.error.kind === 'invalid') return failed({ verdict: notRun, reason: 'badRequest', detail: `the request cannot be forwarded: ${head.error.detail}` })
     if (head.error.kind === 'notSent') {
       this.#deps.onUnreachable(this.endpoint, head.error.isRefused === true)
       return failed({ verdict: notRun, reason: 'endpointLost', detail: 'no connection to the endpoint' })
@@ -162,6 +166,10 @@
     })
   }
 
+  #isOwn (head: UpstreamHead): boolean {
+    return head.headers[requestIdHeader] === this.#request.requestId
+  }
+
   async #accept (head: UpstreamHead): Promise<Result<UpstreamHead, AttemptFailure>> {
     this.#deps.onLoad(this.endpoint, head.headers[loadHeader])
     if (head.headers[verdictHeader] === undefined) {
@@ -170,7 +178,14 @@
     }
     const text = await this.#upstream?.readText() ?? ''
     this.#closeFresh()
-    return failed(failureOf(text), settlementOf(head.headers))
+    const failure = failureOf(text)
+    return failed(failure, this.#settlementOf(failure))
+  }
+
+  /** The endpoint process charges nothing for a failure that it reports itself, unless the answer did run and is gone. */
+  #settlementOf (failure: Failure): Settlement | undefined {
+    if (failure.reason === 'answerExpired') return undefined
+    return { requestId: this.#request.requestId, tokens: 0, outcome: failure.verdict.kind === 'notRun' ? 'notRun' : 'failed' }
   }
 
   /** After the connection failed: the endpoint process may still have the answer. */
@@ -178,6 +193,7 @@
     if (this.#isAborted || cause.kind === 'aborted') return aborted()
     // Other idle connections may have gone silent at the same time.
     if (cause.kind === 'silent') this.#deps.pools.renew(this.endpoint)
+    this.#upstream?.abort()
     this.#deps.onReattach(this.endpoint)
     return this.#attachUntil(this.#deps.timers.monotonicMs() + this.#deps.attachForMs)
   }
@@ -185,11 +201,13 @@
   async #attachUntil (untilMs: number): Promise<Result<UpstreamHead, AttemptFailure>> {
     for (let refusals = 0; ;) {
       const head = await this.#attachOnce()
-      if (head.isOk()) return this.#accept(head.value)
+      if (head.isOk() && this.#isOwn(head.value)) return this.#accept(head.value)
       if (this.#isAborted) return aborted()
-      refusals = head.error.isRefused === true ? refusals + 1 : 0
+      this.#upstream?.abort()
+      const isRefused = head.isErr() && head.error.isRefused === true
+      refusals = isRefused ? refusals + 1 : 0
       const isGone = refusals >= refusalsUntilGone
-      const canRunElsewhere = this.#request.idempotent && this.#offsetBytes === 0 && head.error.isRefused !== true
+      const canRunElsewhere = this.#request.idempotent && this.#offsetBytes === 0 && !isRefused
       if (isGone || canRunElsewhere || this.#deps.timers.monotonicMs() >= untilMs) {
         this.#deps.onUnreachable(this.endpoint, isGone)
         return failed(lost, undefined, isGone)
--- a/packages/router/src/node/forward/relay.ts
+++ b/packages/router/src/node/forward/relay.ts
@@ -16,8 +16,8 @@
   | { readonly kind: 'gone' }
   | { readonly kind: 'refused', readonly failure: Failure }
   | { readonly kind: 'broken', readonly failure: Failure }
-  /** `isDeath`: the endpoint or its back end died while it had the request. */
-  | { readonly kind: 'failed', readonly failure: Failure, readonly isDeath: boolean }
+  /** `isDeath`: the endpoint or its back end died while it had the request. `settlement`: `undefined` when the cost is unknown. */
+  | { readonly kind: 'failed', readonly failure: Failure, readonly isDeath: boolean, readonly settlement: Settlement | undefined }
 
 type OpenHead = Result<UpstreamHead, AttemptFailure>
 
@@ -221,13 +221,13 @@
     const { failure } = error
     if (failure.reason === 'endpointFull') this.#deps.book.noteFull(place.endpoint)
     if (failure.reason === 'endpointLeaving') this.#deps.book.noteLeaving(place.endpoint)
-    if (failure.reason === 'backEndFailed') this.#observeFailure(place)
+    if (failure.reason === 'backEndFailed' && failure.verdict.kind !== 'notRun') this.#observeFailure(place)
     const isDeath = failure.verdict.kind !== 'notRun' && (failure.reason === 'backEndFailed' || error.isGone)
-    return { kind: 'failed', failure, isDeath }
+    return { kind: 'failed', failure, isDeath, settlement: error.settlement }
   }
 
   #attachFailed (error: AttemptFailure): RelayEnd {
-    if (!error.isAborted) return { kind: 'failed', failure: error.failure, isDeath: false }
+    if (!error.isAborted) return { kind: 'failed', failure: error.failure, isDeath: false, settlement: error.settlement }
     return this.#answer.isGone ? { kind: 'gone' } : { kind: 'refused', failure: pastDeadline(mayHaveRun) }
   }
 
--- a/packages/router/src/node/forward/requestRun.ts
+++ b/packages/router/src/node/forward/requestRun.ts
@@ -31,6 +31,11 @@
 /** Picks of a version until one with an endpoint is found. */
 const versionPicks = 4
 const noEndpointRetryMs = 1000
+/**
+ * Delay before attaching to a claim that another request holds. An attach that
+ * overtakes the request itself makes the endpoint refuse it for good.
+ */
+const heldDelayMs = 50
 const noEndpoint: Failure = { verdict: notRun, reason: 'noEndpoint', detail: 'no endpoint can take the request now', retryAfterMs: noEndpointRetryMs }
 const suspect: Failure = { verdict: notRun, reason: 'crashSuspect', detail: 'endpoints died while they ran this request' }
 const keyReused: Failure = { verdict: notRun, reason: 'keyReused', detail: 'the idempotency key was used with another request' }
@@ -51,6 +56,8 @@
   #replaces: string | undefined
   #attempts = 0
   #deaths = 0
+  /** True when an attempt may have cost something that nobody can tell. */
+  #isCostUnknown = false
   #lastPlace: RunPlace | undefined
 
   constructor (deps: RunDeps, plan: CallPlan, answer: AnswerSink, span: Span) {
@@ -87,15 +94,17 @@
   async #step (): Promise<StepEnd> {
     const place = this.#choosePlace()
     if (place === undefined) return { kind: 'failed', failure: noEndpoint }
+    // Reserving comes first, so that little time passes between a granted claim and the request it names.
+    const reserved = await this.#reserve()
     if (this.#plan.keyHash !== undefined) {
       const claimed = await this.#claim(place)
       if (claimed.kind === 'failed') return claimed
+      // A budget that is used up does not keep a caller from an answer that is paid for.
       if (claimed.kind === 'held') return this.#attachTo(claimed.claim)
     }
-    const reserved = await this.#reserve()
     if (reserved.isErr()) return { kind: 'refused', failure: this.#withEarlierVerdicts(reserved.error) }
     if (this.#answer.isGone) {
-      this.#settler.release()
+      this.#settleEarlier()
       return { kind: 'gone' }
     }
     return this.#forward(place)
@@ -163,6 +172,7 @@
   async #attachTo (claim: Claim): Promise<StepEnd> {
     if (claim.contentHash !== this.#plan.contentHash) return { kind: 'refused', failure: keyReused }
     this.#settleEarlier()
+    await this.#wait(heldDelayMs)
     const { id, incarnation, url } = claim.runner
     const endpoint: Member = { id, incarnation, role: 'endpoint', vm: '', failureDomain: '', controlUrl: url, service: this.#plan.service.name, leaving: false }
     const relay = new Relay(this.#deps, this.#plan, this.#answer, this.#context, this.#attempts)
@@ -177,12 +187,14 @@
   #stepOf (end: RelayEnd): StepEnd {
     if (end.kind !== 'failed') return end
     if (end.isDeath) this.#deaths += 1
+    if (end.settlement === undefined && end.failure.verdict.kind !== 'notRun') this.#isCostUnknown = true
     return end
   }
 
   /** The delay before the next attempt in ms; `undefined` when there is none. */
   #noteFailure (failure: Failure): number | undefined {
-    this.#verdicts.push(failure.verdict)
+    // The verdict of a claim is about earlier requests with the key.
+    if (failure.reason !== 'claimUnavailable') this.#verdicts.push(failure.verdict)
     if (this.#deaths >= deathsUntilSuspect || this.#answer.isGone) return undefined
     const { service, idempotent } = this.#plan
     const decision = decideRetry({
@@ -204,10 +216,16 @@
     return decision.delayMs
   }
 
-  /** Settles attempts whose real cost will not be known. */
+  /** Settles the attempts so far. */
   #settleEarlier (): void {
-    if (combineVerdicts(this.#verdicts).kind === 'notRun' || this.#lastPlace === undefined) this.#settler.release()
-    else this.#settler.finish(this.#lastPlace, undefined, 'lost')
+    const place = this.#lastPlace
+    if (combineVerdicts(this.#verdicts).kind === 'notRun' || place === undefined) {
+      this.#settler.release()
+    } else if (this.#isCostUnknown) {
+      this.#settler.finish(place, undefined, 'lost')
+    } else {
+      this.#settler.finish(place, { requestId: place.requestId, tokens: 0, outcome: 'failed' }, 'failed')
+    }
   }
 
   #giveUp (failure: Failure): RunEnd {
--- a/packages/router/src/node/forward/upstream.ts
+++ b/packages/router/src/node/forward/upstream.ts
@@ -10,9 +10,12 @@
   readonly headers: IncomingHttpHeaders
 }
 
-/** `notSent`: no byte was handed to a socket. `silent`: nothing arrived for too long. `aborted`: given up here. */
+/**
+ * `invalid`: the request cannot be written as HTTP. `notSent`: no byte was
+ * handed to a socket. `silent`: nothing arrived for too long. `aborted`: given up here.
+ */
 export interface UpstreamFailure {
-  readonly kind: 'notSent' | 'broken' | 'silent' | 'aborted'
+  readonly kind: 'invalid' | 'notSent' | 'broken' | 'silent' | 'aborted'
   readonly detail: string
   /** True when nothing listens at the address, so the process is gone. */
   readonly isRefused?: boolean
@@ -140,11 +143,9 @@
   }
 
   onResponseError (_controller: Dispatcher.DispatchController | null, error: Error): void {
-    this.#fail({
-      kind: this.#wasSent ? 'broken' : 'notSent',
-      detail: error.message,
-      isRefused: !this.#wasSent && (error as NodeJS.ErrnoException).code === 'ECONNREFUSED'
-    })
+    const { code } = error as NodeJS.ErrnoException
+    const kind = code === 'UND_ERR_INVALID_ARG' ? 'invalid' : this.#wasSent ? 'broken' : 'notSent'
+    this.#fail({ kind, detail: error.message, isRefused: !this.#wasSent && code === 'ECONNREFUSED' })
   }
 
   /** While the body is paused nothing can arrive, so silence proves nothing. */
--- a/packages/router/src/shared/callerSettings.ts
+++ b/packages/router/src/shared/callerSettings.ts
@@ -3,7 +3,7 @@
 export interface CallerSettings {
   /** Most bytes of a request body. */
   readonly maxBodyBytes: number
-  /** Most bytes of all request headers. */
+  /** Most bytes of all request headers; below the limit of endpoint processes, which get header `bd-call` besides. */
   readonly maxHeaderBytes: number
   /** Time for a caller to send all headers, in ms. */
   readonly headersTimeoutMs: number
@@ -31,7 +31,7 @@
 
 export const defaultCallerSettings: CallerSettings = {
   maxBodyBytes: 4 * 1024 * 1024,
-  maxHeaderBytes: 16 * 1024,
+  maxHeaderBytes: 12 * 1024,
   headersTimeoutMs: 10_000,
   requestTimeoutMs: 30_000,
   maxConnections: 20_000,
