--- a/packages/kernel/src/shared/eventCatalogue.ts
+++ b/packages/kernel/src/shared/eventCatalogue.ts
@@ -62,6 +62,13 @@
   claimsTakenOver: { number: 1408, level: 'warn', message: 'claim shard taken over', action: 'none' },
   claimsLost: { number: 1409, level: 'error', message: 'owner and witness of a claim shard are lost', action: 'Unknown keys of the shard are answered mayHaveRun for the retention time.' },
   crashReportFailed: { number: 1410, level: 'warn', message: 'crash report reached no router', action: 'none' },
+  controlListening: { number: 1300, level: 'info', message: 'control listener is open', action: 'none' },
+  callersListening: { number: 1301, level: 'info', message: 'caller listener is open', action: 'none' },
+  callerRequestFailed: { number: 1302, level: 'error', message: 'handling of a caller request failed', action: 'Report the error text; the caller was told that the request may have run.' },
+  refusalNotAccounted: { number: 1303, level: 'error', message: 'a refusal could not be accounted for', action: 'Report the error text; the caller has the refusal with an id that begins with unaccounted.' },
+  answerReattached: { number: 1304, level: 'debug', message: 'connection to an endpoint broke or went silent; re-attaching to the answer', action: 'none' },
+  crashReported: { number: 1305, level: 'warn', message: 'an endpoint reported a crash', action: 'Look at the log of the back end; the contents that were running are suspects.' },
+  endpointDied: { number: 1306, level: 'warn', message: 'an endpoint process died while it had requests', action: 'Look at the VM of the endpoint; the contents that were running are suspects.' },
 
   recordsStored: { number: 1500, level: 'debug', message: 'stored a batch of records', action: 'none' },
   recordsWaiting: { number: 1501, level: 'warn', message: 'records wait because the platform did not take them', action: 'Restore the platform. At the bound the router refuses new requests.' },
