--- a/packages/bench/src/node/rollout/strategies.ts
+++ b/packages/bench/src/node/rollout/strategies.ts
@@ -12,7 +12,7 @@
 
 /** The strategy of the product. */
 export function createChosenStrategy (moveBySecond: number): Strategy {
-  let state = startRollout('service', 'old', 'new', 0, moveBySecond * secondMs, 1)
+  let state = startRollout('service', 'old', 'new', 0, moveBySecond * secondMs, { fencingToken: 1, holder: 'r1' })
   let evidence = newEvidence('new')
   return {
     step (second, interval) {
--- a/packages/kernel/src/shared/eventCatalogue.ts
+++ b/packages/kernel/src/shared/eventCatalogue.ts
@@ -75,7 +75,14 @@
   recordsFull: { number: 1502, level: 'error', message: 'waiting records reached their memory bound; new requests are refused', action: 'Restore the platform, or replace the router after its records were handed over.' },
   accountsNotCopied: { number: 1503, level: 'warn', message: 'no peer router took a copy of the refusal accounts', action: 'Check the other routers; until one answers, a lost router loses its last refusal accounts.' },
   copiesStored: { number: 1504, level: 'info', message: 'stored refusal accounts of a peer that did not store them itself', action: 'none' },
-  acknowledgeFailed: { number: 1505, level: 'debug', message: 'endpoint process could not be told that its records are stored', action: 'none; it hands them over and readers drop the duplicates.' },
+  acknowledgeFailed: { number: 1505, level: 'debug', message: 'endpoint process could not be told that its records are stored', action: 'none; it hands them over and readers drop the duplicates.' },,
+
+  rolloutStarted: { number: 1600, level: 'info', message: 'rollout started', action: 'none' },
+  rolloutAdvanced: { number: 1601, level: 'info', message: 'rollout advanced to a larger share', action: 'none' },
+  rolloutFinished: { number: 1602, level: 'info', message: 'all traffic is on the new version', action: 'Remove the old version from the fleet text when it is no longer wanted.' },
+  rolloutRolledBack: { number: 1603, level: 'error', message: 'a new version was found bad and gets no traffic', action: 'Read the reason; repair the version and add it to the fleet text under a new name.' },
+  rolloutWriteFailed: { number: 1604, level: 'warn', message: 'state of a rollout could not be stored; it does not advance', action: 'Restore the platform. Routers still stop sending to what they see fail.' },
+  versionStopped: { number: 1605, level: 'warn', message: 'this router stopped sending to a version that it sees fail', action: 'Compare with the state of the rollout; other routers decide by their own observation.' }
 })
 
 export type EventName = keyof typeof eventCatalogue
--- a/packages/policy/src/shared/rollout/__tests__/rollout.test.ts
+++ b/packages/policy/src/shared/rollout/__tests__/rollout.test.ts
@@ -14,7 +14,7 @@
 const moveByMs = 600_000
 
 function run (seconds: number, interval: (second: number, share: number) => IntervalCounts): { readonly state: RolloutState, readonly evidence: RolloutEvidence, readonly shares: readonly number[] } {
-  let state = startRollout('s', 'old', 'new', 0, moveByMs, 1)
+  let state = startRollout('s', 'old', 'new', 0, moveByMs, { fencingToken: 1, holder: 'r1' })
   let evidence = newEvidence('new')
   const shares: number[] = []
   for (let second = 0; second < seconds; second++) {
--- a/packages/policy/src/shared/rollout/index.ts
+++ b/packages/policy/src/shared/rollout/index.ts
@@ -3,5 +3,8 @@
 export { addCounts, compareInterval, newComparison, noCounts, type RouteComparison, type RouteCounts } from './routeComparison.ts'
 export {
   addInterval, badReason, decideRollout, maxStepMs, minStepMs, newEvidence, shareSteps, startRollout, stepMs,
-  type IntervalCounts, type RolloutEvidence, type RolloutPhase, type RolloutState
+  type IntervalCounts, type LeaseIdentity, type RolloutEvidence, type RolloutPhase, type RolloutState
 } from './rollout.ts'
+export { chooseVersion, settledVersion, type VersionChoiceInput } from './versionChoice.ts'
+export { byRoute, LocalObserver, localStopMs, type ObservedCounts } from './localObserver.ts'
+export { pool, PooledIntervals, type OutcomeReport } from './pooledIntervals.ts'
--- a/packages/policy/src/shared/rollout/rollout.ts
+++ b/packages/policy/src/shared/rollout/rollout.ts
@@ -24,6 +24,8 @@
   readonly moveByMs: number | undefined
   /** Fencing token of the lease under which this state was written. */
   readonly fencingToken: number
+  /** Id of the router that held the lease; the others report to it. */
+  readonly holder: string
 }
 
 /**
@@ -57,10 +59,12 @@
   readonly requestsAtStep: number
 }
 
+export type LeaseIdentity = Pick<RolloutState, 'fencingToken' | 'holder'>
+
 /** Starts a rollout. */
-export function startRollout (service: string, baseline: string, target: string, nowMs: number, moveByMs: number | undefined, fencingToken: number): RolloutState {
+export function startRollout (service: string, baseline: string, target: string, nowMs: number, moveByMs: number | undefined, lease: LeaseIdentity): RolloutState {
   return {
-    service, baseline, target, targetShare: shareSteps[0]!, phase: { kind: 'moving' }, startedAtMs: nowMs, stepStartedAtMs: nowMs, moveByMs, fencingToken
+    service, baseline, target, targetShare: shareSteps[0]!, phase: { kind: 'moving' }, startedAtMs: nowMs, stepStartedAtMs: nowMs, moveByMs, ...lease
   }
 }
 
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -10,3 +10,6 @@
 export { defaultCallerSettings, type CallerSettings } from './shared/callerSettings.ts'
 export { callerPlugin, type CallerPluginOptions } from './node/callers/callerPlugin.ts'
 export { controlPlugin, type ControlPluginOptions } from './node/control/controlPlugin.ts'
+export { startRouter, type RouterOptions } from './node/routerProcess.ts'
+export { createRolloutsPlugin, type RolloutsPluginOptions } from './node/rollouts/rolloutsPlugin.ts'
+export { recordsPlugin, type RecordsPluginOptions } from './node/records/recordsPlugin.ts'
--- a/packages/router/src/node/control/controlPlugin.ts
+++ b/packages/router/src/node/control/controlPlugin.ts
@@ -1,5 +1,5 @@
 /** Control listener of a router: tRPC for processes with the fleet secret. */
-import { createServer } from 'node:http'
+import { createServer, type RequestListener } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import { H3, toNodeHandler } from 'h3'
 import { definePlugin, type Plugin } from '@buckthorndrift/kernel'
@@ -9,14 +9,22 @@
 import { HandlerRegistry } from './handlerRegistry.ts'
 
 export interface ControlPluginOptions {
-  readonly host: string
-  /** 0 takes a free port. */
-  readonly port: number
   readonly fleetSecret: string
-  /** Called with the bound port when the listener is open. */
-  readonly onListening?: (port: number) => void
+  readonly listener: ControlListenerOptions
 }
 
+/** Either a listener that is open already, because its port is part of the registration, or one that the plugin opens. */
+export type ControlListenerOptions =
+  | { readonly kind: 'open', serve (handler: RequestListener): void, close (): Promise<void> }
+  | {
+    readonly kind: 'own'
+    readonly host: string
+    /** 0 takes a free port. */
+    readonly port: number
+    /** Called with the bound port when the listener is open. */
+    readonly onListening?: (port: number) => void
+  }
+
 /** Most bytes of the headers of a control call; batched queries travel in the URL. */
 const maxHeaderBytes = 64 * 1024
 const headersTimeoutMs = 10_000
@@ -31,15 +39,18 @@
       context.provide(controlRegistryKey, registry)
       const handle = createControlHandler(createRouterControl(registry.handlers), options.fleetSecret)
       const app = new H3().all(`${controlPath}/**`, event => handle(event.req))
+      const handler = toNodeHandler(app)
+      const { listener } = options
+      if (listener.kind === 'open') return { ready () { listener.serve(handler) }, close: () => listener.close() }
       const server = createServer({
         maxHeaderSize: maxHeaderBytes, headersTimeout: headersTimeoutMs, requestTimeout: requestTimeoutMs
-      }, toNodeHandler(app))
+      }, handler)
       return {
         async ready () {
-          await listen(server, options.port, options.host)
+          await listen(server, listener.port, listener.host)
           const { port } = server.address() as AddressInfo
           context.log.event('controlListening', { port })
-          options.onListening?.(port)
+          listener.onListening?.(port)
         },
         close: () => stopListening(server)
       }
--- /dev/null
+++ b/packages/router/src/node/rollouts/rolloutsPlugin.ts
@@ -0,0 +1,112 @@
+/** Plugin that chooses versions, observes them, and carries out rollouts, see docs/design.md section 11. */
+import { definePlugin, type Plugin, type PluginContext } from '@buckthorndrift/kernel'
+import { documentsKey, leasesKey, membershipKey, objectStoreKey } from '@buckthorndrift/platform'
+import { chooseVersion, LocalObserver, type ObservedCounts, type RolloutState } from '@buckthorndrift/policy'
+import { createRouterClient } from '@buckthorndrift/protocol'
+import { configServiceKey, controlRegistryKey, versionServiceKey, type VersionService } from '../../shared/services.ts'
+import { RolloutHolder, rolloutPrefix, rolloutStateOf } from './rolloutHolder.ts'
+
+export interface RolloutsPluginOptions {
+  readonly fleetSecret: string
+  readonly controlTimeoutMs: number
+  /** Interval of reports and decisions. */
+  readonly outcomeIntervalMs: number
+  /** Uniform in [0, 1). */
+  readonly random: () => number
+}
+
+/** Provides `VersionService` and the control handler for outcome reports. */
+export function createRolloutsPlugin (options: RolloutsPluginOptions): Plugin {
+  return definePlugin({ name: 'rollouts', setup: context => setup(context, options) })
+}
+
+function setup (context: PluginContext, options: RolloutsPluginOptions) {
+  const { timers, log } = context
+  const documents = context.use(documentsKey)
+  const membership = context.use(membershipKey)
+  const config = context.use(configServiceKey)
+  const observer = new LocalObserver()
+  const holder = new RolloutHolder({
+    routerId: membership.self.id,
+    lease: context.use(leasesKey).campaign('rollout'),
+    documents,
+    store: context.use(objectStoreKey),
+    timers,
+    log,
+    fleet: () => config.fleet()
+  })
+  const reporterId = `${membership.self.id}.${membership.self.incarnation}`
+  let interval = 0
+  let stepping: Promise<void> | undefined
+
+  function stateOf (service: string): RolloutState | undefined {
+    return rolloutStateOf(documents.get(rolloutPrefix + service))
+  }
+
+  const service: VersionService = {
+    pick (name) {
+      const versions = config.fleet()?.services[name]?.versions ?? []
+      const nowMs = timers.monotonicMs()
+      return chooseVersion({
+        versions,
+        rollout: versions.length > 1 ? stateOf(name) : undefined,
+        hasEndpoint: version => membership.endpoints(name).some(endpoint => endpoint.version === version && !endpoint.leaving),
+        isStopped: version => observer.isStopped(name, version, nowMs),
+        random: options.random()
+      })
+    },
+    observe: (name, version, route, isSuccess, durationMs) => { observer.observe(name, version, route, isSuccess, durationMs) }
+  }
+
+  function judgeLocally (counts: readonly ObservedCounts[]): void {
+    for (const { name, versions } of Object.values(config.fleet()?.services ?? {})) {
+      const state = versions.length > 1 ? stateOf(name) : undefined
+      if (state === undefined || state.phase.kind === 'rolledBack') continue
+      const reason = observer.judge(name, state.baseline, state.target, counts, timers.monotonicMs())
+      if (reason !== undefined) log.event('versionStopped', { service: name, version: state.target, reason })
+    }
+  }
+
+  /** Sends counts of services in a rollout to the routers that hold the lease for them. */
+  async function report (counts: readonly ObservedCounts[]): Promise<void> {
+    const holders = new Map<string, ObservedCounts[]>()
+    for (const one of counts) {
+      const state = stateOf(one.service)
+      if (state === undefined || state.phase.kind === 'rolledBack') continue
+      holders.set(state.holder, [...holders.get(state.holder) ?? [], one])
+    }
+    await Promise.all([...holders].map(([id, own]) => sendTo(id, own)))
+  }
+
+  async function sendTo (id: string, counts: readonly ObservedCounts[]): Promise<void> {
+    const { self } = membership
+    if (id === self.id) return holder.receive(reporterId, interval, counts)
+    const member = membership.routers().find(router => router.id === id)
+    if (member === undefined) return
+    const client = createRouterClient({ url: member.controlUrl, fleetSecret: options.fleetSecret, timeoutMs: options.controlTimeoutMs })
+    await client.evidence.reportOutcomes.mutate({ routerId: reporterId, interval, counts: [...counts] })
+      .catch(() => { membership.noteUnreachable(id) })
+  }
+
+  async function step (): Promise<void> {
+    interval++
+    const counts = observer.takeInterval()
+    judgeLocally(counts)
+    await report(counts)
+    await holder.step()
+  }
+
+  context.provide(versionServiceKey, service)
+  context.use(controlRegistryKey).register('evidence', {
+    reportOutcomes: async input => { holder.receive(input.routerId, input.interval, input.counts) }
+  })
+  const stop = timers.every(options.outcomeIntervalMs, () => {
+    stepping ??= step().finally(() => { stepping = undefined })
+  })
+  return {
+    async close () {
+      stop()
+      await stepping
+    }
+  }
+}
--- a/packages/router/src/node/runRouter.ts
+++ b/packages/router/src/node/runRouter.ts
@@ -1,21 +1,46 @@
-/** Starts the router process from its settings. */
-import { createRoarrLog } from '@buckthorndrift/kernel'
-import { resolveRouterSettings } from '../shared/routerSettings.ts'
+/** Runs the router process from its settings until it is asked to stop. */
+import {
+  createRoarrLog, createSpanLineExporter, createStatsdMetrics, createTracing, rejectSettings, runProcess, silentMetrics,
+  SystemTimers, type EventLevel, type Metrics, type Tracing
+} from '@buckthorndrift/kernel'
+import { resolveRouterSettings, type RouterSettings } from '../shared/routerSettings.ts'
+import { startRouter } from './routerProcess.ts'
 
-export const exitFailed = 1
-export const exitUsage = 2
+function openMetrics (settings: RouterSettings): Metrics {
+  if (settings.statsdHost === '') return silentMetrics
+  return createStatsdMetrics({ host: settings.statsdHost, port: settings.statsdPort, tags: { router: settings.id, failureDomain: settings.failureDomain } })
+}
+
+function openTracing (settings: RouterSettings): Tracing {
+  const serviceName = `router ${settings.id}`
+  return settings.spans === 'lines' ? createTracing({ serviceName, exporter: createSpanLineExporter(process.stderr) }) : createTracing({ serviceName })
+}
 
 /**
- * Runs a router until it is asked to stop. Resolves with the exit code: 0 after a
- * graceful shutdown, 1 when it failed, 2 when settings are wrong.
+ * Runs a router. Resolves with the exit code: 0 after a graceful shutdown, 1
+ * when it failed, 2 when settings are wrong. Prints `listening <listener>
+ * <port>` for each listener, so that a port of 0 can be found out.
  */
 export async function runRouter (flags: Readonly<Record<string, string | undefined>>): Promise<number> {
   const resolved = resolveRouterSettings({ flags, environment: process.env })
-  if (resolved.isErr()) {
-    createRoarrLog({ scope: 'router', level: 'info', base: {} }).event('settingsRejected', { problems: resolved.error.join('; ') })
-    process.stderr.write(`The router cannot start because of its settings:\n${resolved.error.map(problem => `  ${problem}\n`).join('')}`)
-    return exitUsage
-  }
-  process.stderr.write('The router cannot start: its plugins are not assembled in this version.\n')
-  return exitFailed
+  if (resolved.isErr()) return rejectSettings('router', resolved.error)
+  const { settings } = resolved.value
+  const log = createRoarrLog({ scope: 'router', level: settings.logLevel as EventLevel, base: { router: settings.id } })
+  const tracing = openTracing(settings)
+  const exitCode = await runProcess({
+    label: 'router',
+    log,
+    drainLimitMs: settings.drainLimitMs,
+    start: requestStop => startRouter({
+      resolved: resolved.value,
+      timers: new SystemTimers(),
+      log,
+      metrics: openMetrics(settings),
+      tracing,
+      onDrainRequested: requestStop,
+      onListening: (listener, port) => { process.stdout.write(`listening ${listener} ${port}\n`) }
+    })
+  })
+  await tracing.close()
+  return exitCode
 }
