--- a/packages/kernel/src/shared/eventCatalogue.ts
+++ b/packages/kernel/src/shared/eventCatalogue.ts
@@ -33,6 +33,12 @@
   platformWatchFailed: { number: 1102, level: 'warn', message: 'watch on the object API failed; retrying', action: 'Check the object API if this lasts; documents still arrive from peers.' },
   leaseAcquired: { number: 1103, level: 'info', message: 'lease acquired', action: 'none' },
   leaseLost: { number: 1104, level: 'warn', message: 'lease taken over by another process', action: 'none, unless it happens often: then look for long pauses of the process.' },
+  memberRegistered: { number: 1105, level: 'info', message: 'process registered', action: 'none' },
+  memberRegistrationDelayed: { number: 1106, level: 'warn', message: 'registration failed; retrying', action: 'Check the connection to the object API if this lasts.' },
+  memberReplaced: { number: 1107, level: 'warn', message: 'another incarnation is registered under the id of this process', action: 'Make sure that only one process runs under the id.' },
+  memberNotDeregistered: { number: 1108, level: 'warn', message: 'the process stopped without leaving the registry', action: 'none; the entry goes when the VM leaves the VM list.' },
+  vmListEmpty: { number: 1109, level: 'error', message: 'the platform lists no VMs; the list is ignored', action: 'Check the platform; no lost member is removed meanwhile.' },
+  vmListApplied: { number: 1110, level: 'info', message: 'the list of VMs changed the registry', action: 'none' },
 
   recordsStored: { number: 1500, level: 'debug', message: 'stored a batch of records', action: 'none' },
   recordsWaiting: { number: 1501, level: 'warn', message: 'records wait because the platform did not take them', action: 'Restore the platform. At the bound the router refuses new requests.' },
--- a/packages/platform/src/shared/__tests__/documents.test.ts
+++ b/packages/platform/src/shared/__tests__/documents.test.ts
@@ -3,7 +3,7 @@
 import { ManualTimers, silentLog, silentMetrics } from '@buckthorndrift/kernel'
 import type { Member } from '@buckthorndrift/protocol'
 import { randomFrom } from '@buckthorndrift/standins'
-import { defaultDocumentsTuning, documentPrefixes, DocumentsService, DocumentTable, MemoryObjects, MemoryObjectStore, Suspicions, type StoredObject } from '../../index.ts'
+import { defaultDocumentsTuning, documentPrefixes, DocumentsService, DocumentTable, MemoryObjects, MemoryObjectStore, Suspicions, type MemoryStoreFault, type StoredObject } from '../../index.ts'
 import { flush, settle } from './settle.ts'
 
 interface Holder {
@@ -20,8 +20,10 @@
   readonly holders: Holder[] = []
   isBlocked: (from: Member, to: Member) => boolean = () => false
   readonly #random: () => number
+  readonly #faultOf: () => MemoryStoreFault
 
-  constructor (domains: number, routersPerDomain: number, endpoints: number, seed: number) {
+  constructor (domains: number, routersPerDomain: number, endpoints: number, seed: number, faultOf: () => MemoryStoreFault = () => 'none') {
+    this.#faultOf = faultOf
     this.#random = randomFrom(seed)
     const members = (role: 'router' | 'endpoint', count: number): Member[] => Array.from({ length: count }, (_, index) => ({
       id: `${role}${index}`, incarnation: '1', role, vm: `vm-${role}${index}`, failureDomain: `d${index % domains}`, controlUrl: `${role}${index}`, leaving: false
@@ -56,7 +58,7 @@
   }
 
   #add (self: Member): void {
-    const store = new MemoryObjectStore({ timers: this.timers, objects: this.objects })
+    const store = new MemoryObjectStore({ timers: this.timers, objects: this.objects, faultOf: this.#faultOf })
     const seen: StoredObject[] = []
     const service = new DocumentsService({
       self,
@@ -176,6 +178,13 @@
     expect(fleet.holding('config/fleet', 2)).toBe(fleet.holders.length)
   })
 
+  it('starts although every third call to the platform fails, which no attempt from the beginning would survive', async () => {
+    let calls = 0
+    const fleet = new Fleet(1, 1, 0, 7, () => ++calls % 3 === 0 ? 'unavailable' : 'none')
+    await fleet.start()
+    expect(fleet.holding('config/fleet', 2)).toBe(1)
+  })
+
   it('watches with two routers per domain, whose calls do not grow with the other processes', async () => {
     const fleet = new Fleet(2, 6, 20, 3)
     await fleet.start()
--- a/packages/platform/src/shared/documentsService.ts
+++ b/packages/platform/src/shared/documentsService.ts
@@ -151,7 +151,8 @@
     try {
       if (this.#members.size === 0) await this.#watchOf(membersPrefix).readAll()
       if (await this.#exchange.round()) return true
-      for (const watch of this.#watches) await watch.readAll()
+      // What was read in an earlier attempt stays, so that a platform that often fails does not keep a process from starting.
+      for (const watch of this.#watches) if (!watch.isLoaded) await watch.readAll()
       return true
     } catch {
       return false
--- a/packages/platform/src/shared/platformWatch.ts
+++ b/packages/platform/src/shared/platformWatch.ts
@@ -46,6 +46,11 @@
     this.#run().finally(() => { this.#isRunning = false }).catch(() => {})
   }
 
+  /** Whether all objects below the prefix were read once; changes since then are known from the revision. */
+  get isLoaded (): boolean {
+    return this.#revision !== undefined
+  }
+
   /** Reads every object below the prefix that is newer than the one held. Throws when the platform does not answer. */
   async readAll (): Promise<void> {
     // The revision is taken before the list, so that no change falls between the two.
