--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -19,4 +19,5 @@
 export { MembershipService, type MembershipServiceOptions } from './shared/membershipService.ts'
 export { defaultVmListTuning, VmAbsences, type VmListTuning } from './shared/vmListDuty.ts'
 export { membershipKey, type Membership } from './shared/membership.ts'
+export * from './shared/budgets/index.ts'
 export * from './shared/records/index.ts'
