--- /dev/null
+++ b/packages/cli/src/node/commands/fleet.ts
@@ -0,0 +1,155 @@
+/** `buckthorndrift check` and `buckthorndrift apply` */
+import { readFileSync } from 'node:fs'
+import { createInterface } from 'node:readline/promises'
+import { setTimeout as delay } from 'node:timers/promises'
+import { command, flag, number, option, optional, positional, string } from 'cmd-ts'
+import { Err, Ok, type Result } from 'ts-results-es'
+import type { OutputOf } from '@buckthorndrift/admin'
+import { exitCodes, type ExitCode } from '../../shared/exitCodes.ts'
+import { formatTime } from '../../shared/times.ts'
+import { connectionArgs, jsonArg, withConnection, type Connection } from '../connection.ts'
+import { createProgress, print, printError, printJson } from '../output.ts'
+
+type Checked = OutputOf<'checkFleet'>
+type Change = Checked['changes'][number]
+
+const fileArg = positional({ displayName: 'file', type: string, description: 'file with the fleet text; - reads standard input' })
+const pollIntervalMs = 300
+
+function readText (file: string): Result<string, ExitCode> {
+  try {
+    return Ok(readFileSync(file === '-' ? 0 : file, 'utf8'))
+  } catch (error) {
+    printError(`The fleet text cannot be read: ${(error as Error).message}`)
+    return Err(exitCodes.usage)
+  }
+}
+
+/** One line per problem in the form that editors and terminals can jump to. */
+function printProblems (file: string, problems: Checked['problems']): void {
+  for (const { line, column, reason } of problems) printError(`${file}:${line}:${column}: ${reason}`)
+  printError(`The text is refused as a whole: ${problems.length} ${problems.length === 1 ? 'problem' : 'problems'}. Nothing was changed.`)
+}
+
+function valueText (part: string, value: string | undefined): string {
+  if (value === undefined) return ''
+  return part.endsWith(' moveByMs') ? formatTime(Number(value)) : value === '' ? '(none)' : value
+}
+
+function changeText ({ kind, part, before, after }: Change): string {
+  const name = part.replace(/ moveByMs$/, ' moveBy')
+  switch (kind) {
+    case 'added': return `+ ${name}: ${valueText(part, after)}`
+    case 'removed': return `- ${name}: ${valueText(part, before)}`
+    case 'changed': return `~ ${name}: ${valueText(part, before)} -> ${valueText(part, after)}`
+  }
+}
+
+function printChanges (changes: readonly Change[], version: number, show: (text: string) => void): void {
+  if (changes.length === 0) return show(`No change in meaning against version ${version}.`)
+  show(`Changes against version ${version}:`)
+  for (const change of changes) show(`  ${changeText(change)}`)
+}
+
+export const checkCommand = command({
+  name: 'check',
+  description: 'Check a fleet text and show what it would change, without applying it.',
+  args: { file: fileArg, json: jsonArg, ...connectionArgs },
+  examples: [{ description: 'check before a commit', command: 'buckthorndrift check fleet.yaml' }],
+  handler: ({ file, json, ...connection }) => withConnection(connection, async ({ call }) => {
+    const text = readText(file)
+    if (text.isErr()) return text.error
+    const checked = await call('checkFleet', { text: text.value })
+    if (checked.isErr()) return checked.error
+    const { problems, changes, version } = checked.value
+    if (json) printJson(checked.value)
+    else if (problems.length > 0) printProblems(file, problems)
+    else printChanges(changes, version, print)
+    return problems.length > 0 ? exitCodes.failed : exitCodes.done
+  })
+})
+
+async function confirm (): Promise<Result<boolean, ExitCode>> {
+  if (!process.stdin.isTTY) {
+    printError('Nobody can be asked, because standard input is no terminal. Add --yes to apply without asking.')
+    return Err(exitCodes.usage)
+  }
+  const prompt = createInterface({ input: process.stdin, output: process.stderr })
+  const answer = await prompt.question('Apply? [y/N] ')
+  prompt.close()
+  return Ok(/^y(es)?$/i.test(answer.trim()))
+}
+
+type Followers = OutputOf<'listFollowers'>
+
+/** Processes that do not follow yet; endpoint processes that do not report their version are left out. */
+function laggingOf ({ followers }: Followers, version: number): Followers['followers'] {
+  return followers.filter(follower => follower.state !== 'notReported' && (follower.version ?? 0) < version)
+}
+
+async function waitForFollowers (connection: Connection, version: number, limitS: number): Promise<ExitCode> {
+  const progress = createProgress()
+  const endMs = Date.now() + limitS * 1000
+  while (true) {
+    const listed = await connection.call('listFollowers', {})
+    if (listed.isErr()) return listed.error
+    const lagging = laggingOf(listed.value, version)
+    const silent = listed.value.followers.filter(follower => follower.state === 'notReported').length
+    const asked = listed.value.followers.length - silent
+    const note = silent === 0 ? '' : `; ${silent} endpoint ${silent === 1 ? 'process does' : 'processes do'} not report a version`
+    progress.show(`${asked - lagging.length} of ${asked} processes follow version ${version}${note}`)
+    if (lagging.length === 0 && asked > 0) {
+      progress.end()
+      return exitCodes.done
+    }
+    if (Date.now() >= endMs) {
+      progress.end()
+      printError(`After ${limitS} s these processes do not follow: ${lagging.map(({ id, state }) => `${id} (${state})`).join(', ')}`)
+      printError('The text is applied. Processes that are reachable for others still learn it; look at buckthorndrift status.')
+      return exitCodes.failed
+    }
+    await delay(pollIntervalMs)
+  }
+}
+
+export const applyCommand = command({
+  name: 'apply',
+  description: 'Apply a fleet text: show the changes, ask, and write it unless somebody else applied one meanwhile.',
+  args: {
+    file: fileArg,
+    yes: flag({ long: 'yes', short: 'y', description: 'apply without asking' }),
+    wait: flag({ long: 'wait', description: 'wait until every process follows the text' }),
+    waitLimit: option({ long: 'wait-limit', type: number, defaultValue: () => 30, description: 'seconds that --wait waits before it fails (default: 30)' }),
+    expectedVersion: option({ long: 'expected-version', type: optional(number), description: 'fail with exit code 3 unless this is the present version (default: the version that the changes are shown against)' }),
+    json: jsonArg,
+    ...connectionArgs
+  },
+  examples: [
+    { description: 'show the changes and ask', command: 'buckthorndrift apply fleet.yaml' },
+    { description: 'apply in a job and wait for the fleet', command: 'buckthorndrift apply fleet.yaml --yes --wait' }
+  ],
+  handler: ({ file, yes, wait, waitLimit, expectedVersion, json, ...flags }) => withConnection(flags, async connection => {
+    const text = readText(file)
+    if (text.isErr()) return text.error
+    const checked = await connection.call('checkFleet', { text: text.value })
+    if (checked.isErr()) return checked.error
+    const { problems, changes, version } = checked.value
+    if (problems.length > 0) {
+      if (json) printJson(checked.value)
+      else printProblems(file, problems)
+      return exitCodes.failed
+    }
+    printChanges(changes, version, json ? printError : print)
+    const isConfirmed = yes ? Ok(true) : await confirm()
+    if (isConfirmed.isErr()) return isConfirmed.error
+    if (!isConfirmed.value) {
+      printError('Nothing was applied.')
+      return exitCodes.failed
+    }
+    const applied = await connection.call('applyFleet', { text: text.value, expectedVersion: expectedVersion ?? version })
+    if (applied.isErr()) return applied.error
+    if (json) printJson(applied.value)
+    else print(`Applied as version ${applied.value.version}.`)
+    return wait ? waitForFollowers(connection, applied.value.version, waitLimit) : exitCodes.done
+  })
+})
--- /dev/null
+++ b/packages/cli/src/node/failures.ts
@@ -0,0 +1,43 @@
+/** Failures of administration calls: what to print and which exit code follows. */
+import type { AdminCallFailure, AdminProblem } from '@buckthorndrift/admin'
+import { assertNever } from '@buckthorndrift/kernel'
+import { exitCodes, type ExitCode } from '../shared/exitCodes.ts'
+import { printError } from './output.ts'
+
+function exitCodeOf (problem: AdminProblem): ExitCode {
+  switch (problem.code) {
+    case 'badRequest': return exitCodes.usage
+    case 'conflict': return exitCodes.conflict
+    case 'unavailable': return exitCodes.unreachable
+    case 'unauthenticated':
+    case 'notFound':
+    case 'invalidFleetText':
+    case 'tooLarge':
+    case 'notSupported':
+    case 'internal': return exitCodes.failed
+    default: return assertNever(problem.code)
+  }
+}
+
+function adviceOf (problem: AdminProblem): string | undefined {
+  if (problem.mayHaveApplied === true) return 'The change may have taken effect. Read the present state before you repeat it.'
+  switch (problem.code) {
+    case 'unauthenticated': return 'Set BUCKTHORNDRIFT_ADMIN_KEY or --key-file to a key whose hash the router has in --admin-key-hashes.'
+    case 'unavailable': return 'Nothing was changed. Repeat the command when the platform answers again.'
+    default: return undefined
+  }
+}
+
+/** Prints the failure with what to do about it. */
+export function reportFailure (failure: AdminCallFailure, url: string): ExitCode {
+  if (failure.kind === 'unreachable') {
+    printError(`The router at ${url} cannot be reached: ${failure.detail}`)
+    printError('Check --url or BUCKTHORNDRIFT_ADMIN_URL, and that the router runs. A change may have taken effect; read the present state first.')
+    return exitCodes.unreachable
+  }
+  const { problem } = failure
+  printError(`${problem.title}: ${problem.detail}`)
+  const advice = adviceOf(problem)
+  if (advice !== undefined) printError(advice)
+  return exitCodeOf(problem)
+}
--- /dev/null
+++ b/packages/cli/src/shared/table.ts
@@ -0,0 +1,14 @@
+/** Tables in plain text. */
+
+export type Cell = string | number
+
+/** Columns are as wide as their widest cell; numbers are aligned to the right. */
+export function formatTable (head: readonly string[], rows: ReadonlyArray<readonly Cell[]>): string {
+  const texts = [head, ...rows.map(row => row.map(cell => typeof cell === 'number' ? cell.toLocaleString('en') : cell))]
+  const widths = head.map((_, column) => Math.max(...texts.map(row => row[column]?.length ?? 0)))
+  const isNumeric = head.map((_, column) => rows.length > 0 && rows.every(row => typeof row[column] === 'number'))
+  return texts.map(row => row.map((text, column) => {
+    const width = widths[column] ?? 0
+    return isNumeric[column] === true ? text.padStart(width) : text.padEnd(width)
+  }).join('  ').trimEnd()).join('\n')
+}
