--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -6,3 +6,7 @@
 export { createConfigPlugin } from './node/config/configPlugin.ts'
 export { resolveRouterSettings, routerSettings, tlsFilesOf, type ListenerName, type ResolvedRouterSettings, type RouterSettings } from './shared/routerSettings.ts'
 export { runRouter } from './node/runRouter.ts'
+export { createBudgetPlugin, type BudgetPluginOptions } from './node/budget/index.ts'
+export { defaultCallerSettings, type CallerSettings } from './shared/callerSettings.ts'
+export { callerPlugin, type CallerPluginOptions } from './node/callers/callerPlugin.ts'
+export { controlPlugin, type ControlPluginOptions } from './node/control/controlPlugin.ts'
