--- a/packages/endpoint/src/node/__tests__/forward.test.ts
+++ b/packages/endpoint/src/node/__tests__/forward.test.ts
@@ -105,6 +105,14 @@
     expect(await attach(endpoint, call.requestId, 2)).toMatchObject({ body: 'pt' })
   })
 
+  it('says mayHaveRun for a request whose back end breaks off, and notRun when it cannot be reached', async () => {
+    handle = (incoming) => { incoming.socket.destroy() }
+    expect(await send(endpoint, callOf())).toMatchObject({ status: 502, headers: { 'bd-verdict': 'mayHaveRun' } })
+    await until(() => endpoint.gate.load().healthy)
+    await backEnd.close()
+    expect(await send(endpoint, callOf())).toMatchObject({ status: 502, headers: { 'bd-verdict': 'notRun' } })
+  })
+
   it('registers first, reads the fences second, and refuses calls until both are done', async () => {
     expect(platform.steps.slice(0, 2)).toEqual(['register', 'read fences'])
     platform.isDown = true
--- a/packages/endpoint/src/node/gate.ts
+++ b/packages/endpoint/src/node/gate.ts
@@ -315,7 +315,7 @@
 
   /** Gives routers `reattachMs` to come back before a request without a key is abandoned. */
   #awaitReturn (pending: Pending): void {
-    if (pending.call.keyHash !== undefined || !this.#pending.has(pending.id)) return
+    if (!this.#pending.has(pending.id)) return
     pending.stopGrace?.()
     pending.stopGrace = this.#options.timers.after(this.#options.settings.reattachMs, () => { this.abandon(pending.id) })
   }
