--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -3,5 +3,17 @@
   documentsKey, objectStoreKey, type Documents, type ListedVm, type ObjectChange, type ObjectStore,
   type StoredObject, type StoreFailure, type WatchAnswer
 } from './shared/objectStore.ts'
+export { MemoryObjects, MemoryObjectStore, type MemoryObjectStoreOptions, type MemoryStoreCall, type MemoryStoreFault } from './shared/memoryObjectStore.ts'
+export { updateObject, type ObjectUpdate, type UpdatedObject, type UpdateOptions } from './shared/updateObject.ts'
+export { createHttpObjectStore, type HttpObjectStore, type HttpObjectStoreOptions } from './node/httpObjectStore.ts'
+export { createObjectStorePlugin, type ObjectStorePluginOptions } from './node/objectStorePlugin.ts'
+export { createDocumentsPlugin, type DocumentsPluginOptions } from './node/documentsPlugin.ts'
+export { defaultDocumentsTuning, documentPrefixes, DocumentsService, type DocumentsServiceOptions, type DocumentsTuning } from './shared/documentsService.ts'
+export { DocumentTable } from './shared/documentTable.ts'
+export { memberListName, memberListSchema, membersOf, membersPrefix, type MemberList } from './shared/memberList.ts'
+export { rankByHash } from './shared/ranking.ts'
+export { Suspicions, suspicionsKey } from './shared/suspicions.ts'
+export { campaignForLease, defaultLeaseTuning, leaseSchema, leasesPrefix, type Lease, type LeaseOptions, type LeaseTuning, type LeaseValue } from './shared/lease.ts'
 export { membershipKey, type Membership } from './shared/membership.ts'
+export * from './shared/budgets/index.ts'
 export * from './shared/records/index.ts'
