--- a/packages/router/src/node/__tests__/routerRig.ts
+++ b/packages/router/src/node/__tests__/routerRig.ts
@@ -148,7 +148,7 @@
     metrics: silentMetrics,
     plugins: [
       fakes,
-      controlPlugin({ fleetSecret: options.fleetSecret, listener: { kind: "own", host: options.host, port: options.port, onListening: port => { ports.control = port } } }),
+      controlPlugin({ fleetSecret: options.fleetSecret, listener: { kind: 'own', host: options.host, port: options.port, onListening: port => { ports.control = port } } }),
       callerPlugin({ ...options, settings, random: Math.random, tracing: createTracing({ serviceName: 'router' }), onListening: port => { ports.caller = port } })
     ]
   })
--- a/packages/router/src/node/routerProcess.ts
+++ b/packages/router/src/node/routerProcess.ts
@@ -1,7 +1,7 @@
 /** Assembles the router process from its plugins. */
 import { randomUUID } from 'node:crypto'
 import type { RequestListener } from 'node:http'
-import { createAdminPlugin, createStoredBudgetsPlugin, openListener, type Listener } from '@buckthorndrift/admin'
+import { adminListenerKey, createAdminPlugin, createStoredBudgetsPlugin, openListener, type Listener } from '@buckthorndrift/admin'
 import { startKernel, type Kernel, type Log, type Metrics, type Plugin, type TimerService, type Tracing } from '@buckthorndrift/kernel'
 import {
   createDocumentsPlugin, createLeasesPlugin, createMembershipPlugin, createObjectStorePlugin, createVmListPlugin
@@ -145,7 +145,7 @@
   const self = memberFor(settings, control.listener.port)
   options.onListening?.('control', control.listener.port)
   try {
-    return await startKernel({
+    const kernel = await startKernel({
       timers: options.timers,
       log: options.log,
       metrics: options.metrics,
@@ -156,6 +156,8 @@
         ...operatorPlugins(options)
       ]
     })
+    options.onListening?.('admin', kernel.use(adminListenerKey).port)
+    return kernel
   } catch (error) {
     await control.listener.close()
     throw error
