--- a/playground/src/callers.ts
+++ b/playground/src/callers.ts
@@ -1,5 +1,5 @@
 /** Requests as callers send them. */
-import { request } from 'undici'
+import { request, type Dispatcher } from 'undici'
 
 export interface Answer {
   readonly status: number
@@ -12,6 +12,7 @@
   readonly idempotencyKey?: string
   readonly headers?: Readonly<Record<string, string>>
   readonly signal?: AbortSignal
+  readonly dispatcher?: Dispatcher
 }
 
 function headersOf (options: CallOptions): Record<string, string> {
@@ -29,7 +30,8 @@
     method,
     headers: headersOf(options),
     ...(body === undefined ? {} : { body: JSON.stringify(body) }),
-    ...(options.signal === undefined ? {} : { signal: options.signal })
+    ...(options.signal === undefined ? {} : { signal: options.signal }),
+    ...(options.dispatcher === undefined ? {} : { dispatcher: options.dispatcher })
   })
   return { status: statusCode, headers, text: await answer.text() }
 }
--- a/playground/src/demo.ts
+++ b/playground/src/demo.ts
@@ -1,10 +1,8 @@
 /** Demo: a small fleet, real requests, and the accounts afterwards. */
-import { readFile } from 'node:fs/promises'
 import { chat, send, streamedText, type Answer } from './callers.ts'
-import { startFleet, type Fleet } from './fleet.ts'
-import { applyFleetText, createOrganisation, expectOk, until } from './setUp.ts'
+import type { Fleet } from './fleet.ts'
+import { createOrganisation, expectOk, startExampleFleet, until } from './setUp.ts'
 
-const readyLimitMs = 15_000
 const recordsLimitMs = 15_000
 const hourMs = 3_600_000
 
@@ -18,39 +16,17 @@
   print(`\n${title}\n  status=${answer.status}${refusal}\n  ${text.trim().slice(0, 300)}`)
 }
 
-function startDemoFleet (): Promise<Fleet> {
-  return startFleet([
-    { id: 'router-a', failureDomain: 'a' },
-    { id: 'router-b', failureDomain: 'b' }
-  ], [
-    { id: 'carebot-a', service: 'carebot', version: 'v1', kind: 'model', failureDomain: 'a' },
-    { id: 'carebot-b', service: 'carebot', version: 'v1', kind: 'model', failureDomain: 'b' },
-    { id: 'desk-a', service: 'boarding-desk', version: 'v1', kind: 'plain', failureDomain: 'a' },
-    { id: 'desk-b', service: 'boarding-desk', version: 'v1', kind: 'plain', failureDomain: 'b' }
-  ])
-}
-
 interface Keys {
   readonly keeper: string
   readonly visitor: string
 }
 
-async function setUp (fleet: Fleet): Promise<Keys> {
-  const { admin } = fleet.routers[0]!
-  const text = await readFile(new URL('../fleet.yaml', import.meta.url), 'utf8')
-  const version = await applyFleetText(admin, text)
-  print(`fleet text applied, version ${version}`)
-  const keys = { keeper: await createOrganisation(admin, 'tortoise-house', 10_000), visitor: await createOrganisation(admin, 'small-budget', 30) }
-  for (const router of fleet.routers) {
-    await until(`${router.id} answers`, readyLimitMs, async () => {
-      const answers = [
-        await chat(router.callerUrl, { key: keys.keeper, model: 'carebot', prompt: 'ready?', maxTokens: 1 }),
-        await send('GET', `${router.callerUrl}/services/boarding-desk/chambers/0`, undefined, { key: keys.keeper })
-      ]
-      return answers.every(answer => answer.status === 200) ? true : undefined
-    })
-  }
-  return keys
+/** Waits until a router knows a key that was just created. */
+async function untilKnown (callerUrl: string, key: string): Promise<void> {
+  await until('the key is known', recordsLimitMs, async () => {
+    const answer = await send('GET', `${callerUrl}/services/boarding-desk/chambers/0`, undefined, { key })
+    return answer.status === 401 ? undefined : true
+  })
 }
 
 async function sendRequests (fleet: Fleet, keys: Keys): Promise<void> {
@@ -90,10 +66,11 @@
   }
 }
 
-const fleet = await startDemoFleet()
+const { fleet, key } = await startExampleFleet(10_000)
 try {
-  const keys = await setUp(fleet)
-  await sendRequests(fleet, keys)
+  const visitorKey = await createOrganisation(fleet.routers[0]!.admin, 'small-budget', 30)
+  for (const router of fleet.routers) await untilKnown(router.callerUrl, visitorKey)
+  await sendRequests(fleet, { keeper: key, visitor: visitorKey })
   await printAccounts(fleet)
 } finally {
   await fleet.stop()
