--- a/playground/src/childProcess.ts
+++ b/playground/src/childProcess.ts
@@ -26,10 +26,18 @@
 
 const keptErrorLines = 50
 
+const running = new Set<ChildProcess>()
+
+// A test that timed out never reaches its clean-up.
+process.once('exit', () => {
+  for (const child of running) child.kill('SIGKILL')
+})
+
 /** Starts a built binary under Node.js. */
 export function startChild (name: string, binary: keyof typeof binaries, args: readonly string[]): Child {
   const path = fileURLToPath(new URL(binaries[binary], import.meta.url))
   const child = spawn(process.execPath, [path, ...args], { stdio: ['ignore', 'pipe', 'pipe'] })
+  running.add(child)
   const lines: string[] = []
   const errors: string[] = []
   const listeners = new Set<(line: string) => void>()
@@ -42,7 +50,10 @@
     if (errors.length > keptErrorLines) errors.shift()
   })
   const exited = new Promise<number | string>(resolve => {
-    child.once('exit', (code, signal) => { resolve(code ?? signal ?? 'unknown') })
+    child.once('exit', (code, signal) => {
+      running.delete(child)
+      resolve(code ?? signal ?? 'unknown')
+    })
   })
 
   function line (prefix: string): Promise<string> {
--- a/playground/src/fleet.ts
+++ b/playground/src/fleet.ts
@@ -25,6 +25,7 @@
   readonly id: string
   readonly child: Child
   readonly callerUrl: string
+  readonly controlPort: number
   readonly admin: AdminClient
 }
 
@@ -77,8 +78,9 @@
   const child = startChild(plan.id, 'cli', ['router', ...flagsOf(routerSettingsFor(plan, platformUrl))])
   const callerPort = await child.line('listening caller ')
   const adminPort = await child.line('listening admin ')
+  const controlPort = Number(await child.line('listening control '))
   const admin = createAdminClient({ url: `http://127.0.0.1:${adminPort}`, key: adminKey, timeoutMs: adminTimeoutMs })
-  return { id: plan.id, child, callerUrl: `http://127.0.0.1:${callerPort}`, admin }
+  return { id: plan.id, child, callerUrl: `http://127.0.0.1:${callerPort}`, controlPort, admin }
 }
 
 async function launchEndpoint (plan: EndpointPlan, platformUrl: string): Promise<RunningEndpoint> {
