Let processes that reach no router catch up from the platform

A process whose round of comparisons nobody answers now looks at the registry at once, and while that does not help it reads changes of all prefixes each 20 s, a low rate because all processes may be in this state together (1310 processes, 7 calls each 25 s at most: below 500 calls/s).

Two tests, which fail without the change: late registration of routers, and the bound on calls without peers.

--- a/packages/platform/src/shared/__tests__/documents.test.ts
+++ b/packages/platform/src/shared/__tests__/documents.test.ts
@@ -185,6 +185,30 @@
     expect(fleet.holding('config/fleet', 2)).toBe(1)
   })
 
+  it('finds routers that registered after it, also when none was registered at its start', async () => {
+    const fleet = new Fleet(1, 2, 3, 7)
+    const { text } = fleet.objects.entries.get('members/d0') ?? { text: '' }
+    fleet.put('members/d0', { members: [] })
+    await fleet.start()
+    fleet.put('members/d0', JSON.parse(text))
+    await fleet.run(10_000)
+    const version = fleet.put('config/fleet', { change: 1 })
+    await fleet.run(9000)
+    expect(fleet.holding('config/fleet', version)).toBe(fleet.holders.length)
+  })
+
+  it('reads from the platform at a low rate while it reaches no router', async () => {
+    const fleet = new Fleet(1, 2, 1, 7)
+    await fleet.start()
+    fleet.isBlocked = () => true
+    const endpoint = fleet.holders.find(({ self }) => self.role === 'endpoint')
+    const version = fleet.put('config/fleet', { change: 1 })
+    await fleet.run(100_000)
+    expect(endpoint?.service.get('config/fleet')?.version).toBe(version)
+    // At most 7 prefixes each 15 s, and one look at the registry.
+    expect(endpoint?.store.counters.watch).toBeLessThanOrEqual(7 * 8 + 8)
+  })
+
   it('watches with two routers per domain, whose calls do not grow with the other processes', async () => {
     const fleet = new Fleet(2, 6, 20, 3)
     await fleet.start()
--- a/packages/platform/src/shared/documentExchange.ts
+++ b/packages/platform/src/shared/documentExchange.ts
@@ -43,12 +43,15 @@
     this.#options = options
   }
 
-  /** Starts the comparisons; intervals vary by a quarter so that processes do not act in step. */
-  start (): void {
+  /**
+   * Starts the comparisons; intervals vary by a quarter so that processes do
+   * not act in step. `afterRound` is told whether a router answered.
+   */
+  start (afterRound: (isAnswered: boolean) => Promise<void>): void {
     if (this.#isStopped) return
     const delayMs = this.#options.intervalMs * (0.75 + this.#options.random() / 2)
     this.#nextRound = this.#options.timers.after(delayMs, () => {
-      this.round().finally(() => { this.start() }).catch(() => {})
+      this.round().then(afterRound).catch(() => {}).finally(() => { this.start(afterRound) }).catch(() => {})
     })
   }
 
--- a/packages/platform/src/shared/documentsService.ts
+++ b/packages/platform/src/shared/documentsService.ts
@@ -25,6 +25,8 @@
   readonly watchMs: number
   /** Longest pause between attempts to start, 10 000 ms. */
   readonly longestRetryMs: number
+  /** Interval in which a process that reaches no router reads changes from the platform, 20 000 ms. */
+  readonly isolatedReadMs: number
   /** Routers per failure domain that watch the platform, 2; `Infinity` makes every process watch. */
   readonly watchers: number
 }
@@ -34,6 +36,7 @@
   gatherMs: 10,
   watchMs: 30_000,
   longestRetryMs: 10_000,
+  isolatedReadMs: 20_000,
   watchers: watchersPerDomain
 }
 
@@ -67,6 +70,8 @@
   /** Members by object, parsed once per version. */
   readonly #members = new Map<string, readonly Member[]>()
   #review: Unsubscribe | undefined
+  #unansweredRounds = 0
+  #nextCatchUpMs = Number.NEGATIVE_INFINITY
   #isLoaded = false
   #isStopped = false
 
@@ -124,7 +129,7 @@
     if (this.#isStopped) return
     this.#isLoaded = true
     this.#options.log.event('documentsLoaded', { documents: this.#table.names('').length })
-    this.#exchange.start()
+    this.#exchange.start(isAnswered => this.#afterRound(isAnswered))
     this.#reviewWatches()
     this.#review = this.#options.timers.every(this.#options.tuning.intervalMs / 2, () => { this.#reviewWatches() })
   }
@@ -146,6 +151,24 @@
     return ranked.indexOf(self.id) < tuning.watchers
   }
 
+  /**
+   * A process that reaches no router looks for others in the registry, then
+   * reads changes from the platform at a low rate: all processes may be in
+   * this state at once.
+   */
+  async #afterRound (isAnswered: boolean): Promise<void> {
+    this.#unansweredRounds = isAnswered ? 0 : this.#unansweredRounds + 1
+    if (this.#unansweredRounds === 0 || this.isWatcher()) return
+    if (this.#unansweredRounds === 1) {
+      await this.#watches.find(watch => watch.prefix === membersPrefix)?.catchUp()
+      return
+    }
+    const nowMs = this.#options.timers.monotonicMs()
+    if (nowMs < this.#nextCatchUpMs) return
+    this.#nextCatchUpMs = nowMs + this.#options.tuning.isolatedReadMs * (0.75 + this.#options.random() / 2)
+    for (const watch of this.#watches) await watch.catchUp()
+  }
+
   /** Members first, then everything from a router; from the platform when no router answers. */
   async #load (): Promise<boolean> {
     try {
--- a/packages/platform/src/shared/platformWatch.ts
+++ b/packages/platform/src/shared/platformWatch.ts
@@ -46,6 +46,10 @@
     this.#run().finally(() => { this.#isRunning = false }).catch(() => {})
   }
 
+  get prefix (): string {
+    return this.#options.prefix
+  }
+
   /** Whether all objects below the prefix were read once; changes since then are known from the revision. */
   get isLoaded (): boolean {
     return this.#revision !== undefined
@@ -61,11 +65,16 @@
     this.#revision = start.revision
   }
 
+  /** Reads what changed since the last call without waiting. Throws when the platform does not answer. */
+  async catchUp (): Promise<void> {
+    if (!this.#isRunning) await this.#step(0)
+  }
+
   async #run (): Promise<void> {
     let failures = 0
     while (this.#isActive) {
       try {
-        await this.#step()
+        await this.#step(this.#options.waitMs)
         failures = 0
         await this.#pause(pauseMs)
       } catch (error) {
@@ -77,12 +86,12 @@
     }
   }
 
-  async #step (): Promise<void> {
+  async #step (waitMs: number): Promise<void> {
     if (this.#revision === undefined) {
       await this.readAll()
       return
     }
-    const answer = unwrap(await this.#options.store.watch(this.#options.prefix, this.#revision, this.#options.waitMs))
+    const answer = unwrap(await this.#options.store.watch(this.#options.prefix, this.#revision, waitMs))
     if (answer.isReset === true) {
       this.#revision = undefined
       return
