--- a/packages/admin/src/node/__tests__/fixture.ts
+++ b/packages/admin/src/node/__tests__/fixture.ts
@@ -4,7 +4,7 @@
 import { definePlugin, silentLog, silentMetrics, startKernel, SystemTimers, type Kernel } from '@buckthorndrift/kernel'
 import { documentsKey, membershipKey, objectStoreKey, type Documents, type Membership, type ObjectStore, type StoredObject } from '@buckthorndrift/platform'
 import type { Member } from '@buckthorndrift/protocol'
-import { adminListenerKey, budgetAdministrationKey, createAdminClient, createAdminPlugin, refuse, type AdminClient, type BudgetAdministration, type BudgetBalance } from '../../index.ts'
+import { adminListenerKey, createAdminClient, createAdminPlugin, type AdminClient } from '../../index.ts'
 
 export const adminKey = 'operator-key'
 export const sha256 = (text: string): string => createHash('sha256').update(text).digest('hex')
@@ -61,28 +61,6 @@
   }
 }
 
-/** Budgets with the published behaviour: each operation id counts once. */
-function budgetsInMemory (): BudgetAdministration {
-  const balances = new Map<string, BudgetBalance>()
-  const operations = new Map<string, number>()
-  const grant = (budget: string, tokens: number, operationId: string) => {
-    const known = operations.get(`${budget} ${operationId}`)
-    const balance = balances.get(budget) ?? { grantedTokens: 0, spentTokens: 0, heldTokens: 0 }
-    if (known !== undefined && known !== tokens) return refuse('conflict', 'the operation id was used with another amount')
-    if (known === undefined) balances.set(budget, { ...balance, grantedTokens: balance.grantedTokens + tokens })
-    operations.set(`${budget} ${operationId}`, tokens)
-    return Ok(balances.get(budget)!)
-  }
-  return {
-    async create (budget, tokens, operationId) {
-      const isRepeat = operations.has(`${budget} ${operationId}`)
-      return balances.has(budget) && !isRepeat ? refuse('conflict', 'the budget exists') : grant(budget, tokens, operationId)
-    },
-    topUp: async (budget, tokens, operationId) => grant(budget, tokens, operationId),
-    read: async names => Ok(new Map(names.flatMap(name => balances.has(name) ? [[name, balances.get(name)!] as const] : [])))
-  }
-}
-
 export const router: Member = { id: 'r1', incarnation: '1', role: 'router', vm: 'vm1', failureDomain: 'north', controlUrl: 'http://127.0.0.1:9', leaving: false }
 export const lostRouter: Member = { ...router, id: 'r2' }
 export const endpoint: Member = { ...router, id: 'e1', role: 'endpoint', service: 'desk', version: 'v1' }
@@ -107,7 +85,6 @@
       context.provide(objectStoreKey, store)
       context.provide(documentsKey, documentsOver(store))
       context.provide(membershipKey, membership)
-      context.provide(budgetAdministrationKey, budgetsInMemory())
       return {}
     }
   })
--- a/packages/admin/src/node/__tests__/organisations.test.ts
+++ b/packages/admin/src/node/__tests__/organisations.test.ts
@@ -75,6 +75,7 @@
     it('counts an operation id once, and shows what is free', async () => {
       await createBudget('acme')
       const topUp = (tokens: number) => admin.client.call('topUpBudget', { organisation: 'acme', budget: 'main', tokens, operationId: 'op-2' })
+      admin.store.lostReplies = 1
       for (let repeat = 0; repeat < 2; repeat++) expect((await topUp(50)).unwrap()).toMatchObject({ grantedTokens: 150, freeTokens: 150 })
       expect((await topUp(51)).unwrapErr()).toMatchObject({ problem: { code: 'conflict' } })
       expect((await admin.client.call('listBudgets', { organisation: 'acme' })).unwrap().items).toMatchObject([{ name: 'main', grantedTokens: 150 }])
--- a/packages/admin/src/node/adminPlugin.ts
+++ b/packages/admin/src/node/adminPlugin.ts
@@ -3,7 +3,6 @@
 import { definePlugin, serviceKey, type Plugin } from '@buckthorndrift/kernel'
 import { documentsKey, membershipKey, objectStoreKey } from '@buckthorndrift/platform'
 import type { AdminKey } from '../shared/adminKeys.ts'
-import type { BudgetAdministration } from '../shared/budgetAdministration.ts'
 import { createAdminApp } from './adminApp.ts'
 import { createBudgetHandlers } from './handlers/budgets.ts'
 import { createFleetHandlers } from './handlers/fleet.ts'
@@ -14,9 +13,7 @@
 import { openListener, type Listener, type TlsFiles } from './listener.ts'
 import { OrganisationStore } from './organisationStore.ts'
 import { createProcessControl } from './processControl.ts'
-
-/** Budgets as another plug-in stores them. */
-export const budgetAdministrationKey = serviceKey<BudgetAdministration>('budgetAdministration')
+import { createStoredBudgets } from './storedBudgets.ts'
 
 /** The open administration listener. */
 export interface AdminListener {
@@ -43,18 +40,19 @@
 /** Time for another process to answer a question of the administration API. */
 const processTimeoutMs = 3000
 
-/** Needs object store, documents, membership and budget administration. */
+/** Needs object store, documents and membership. */
 export function createAdminPlugin (options: AdminOptions): Plugin {
   return definePlugin({
     name: 'admin',
     setup (context) {
+      const store = context.use(objectStoreKey)
       const documents = context.use(documentsKey)
       const membership = context.use(membershipKey)
       const services: AdminServices = {
-        store: context.use(objectStoreKey),
+        store,
         documents,
         membership,
-        budgets: context.use(budgetAdministrationKey),
+        budgets: createStoredBudgets(store),
         processes: createProcessControl({ documents, membership, fleetSecret: options.fleetSecret, timeoutMs: processTimeoutMs, drainSelf: options.drainSelf }),
         timers: context.timers,
         log: context.log
--- a/packages/admin/src/node/handlers/fleet.ts
+++ b/packages/admin/src/node/handlers/fleet.ts
@@ -2,9 +2,14 @@
 import { Ok, type Result } from 'ts-results-es'
 import { z } from 'zod'
 import { diffFleet, parseFleetText, type FleetConfig, type StoredFleetText } from '@buckthorndrift/policy'
+import type { Member } from '@buckthorndrift/protocol'
+import type { OutputOf } from '../../shared/operations.ts'
 import { refuse, storeProblem, type AdminProblem } from '../../shared/problem.ts'
 import type { AdminServices, Handlers } from './handlers.ts'
 
+/** Processes asked at the same time. */
+const concurrentCalls = 32
+
 export const fleetDocument = 'config/fleet'
 
 const storedTextSchema = z.object({ text: z.string(), appliedBy: z.string(), appliedAtMs: z.number() })
@@ -47,6 +52,14 @@
   return refuse('conflict', `the fleet text is at version ${version}, not ${expected}: somebody else applied one first; read it, merge your change and apply again`, { version })
 }
 
+type Follower = OutputOf<'listFollowers'>['followers'][number]
+
+async function followerOf (services: AdminServices, { id, role }: Member, version: number): Promise<Follower> {
+  const held = await services.processes.fleetVersion(id, version)
+  if (held.kind !== 'held') return { id, role, version: null, state: held.kind }
+  return { id, role, version: held.version, state: held.version >= version ? 'following' : 'behind' }
+}
+
 export function createFleetHandlers (services: AdminServices): Pick<Handlers, 'readFleet' | 'checkFleet' | 'applyFleet' | 'listFollowers'> {
   const parseNew = (text: string, inForce: FleetConfig | undefined) => parseFleetText(text, { nowMs: services.timers.nowMs(), inForce })
   return {
@@ -82,11 +95,11 @@
     async listFollowers () {
       const version = services.documents.get(fleetDocument)?.version ?? 0
       const members = [...services.membership.routers(), ...services.membership.endpoints()]
-      const followers = await Promise.all(members.map(async ({ id, role }) => {
-        const held = await services.processes.fleetVersion(id)
-        if (held.kind !== 'held') return { id, role, version: null, state: held.kind }
-        return { id, role, version: held.version, state: held.version >= version ? 'following' as const : 'behind' as const }
-      }))
+      const followers: Follower[] = []
+      for (let first = 0; first < members.length; first += concurrentCalls) {
+        const some = members.slice(first, first + concurrentCalls)
+        followers.push(...await Promise.all(some.map(member => followerOf(services, member, version))))
+      }
       return Ok({ version, followers })
     }
   }
--- a/packages/admin/src/node/processControl.ts
+++ b/packages/admin/src/node/processControl.ts
@@ -12,8 +12,8 @@
   | { readonly kind: 'notReported' }
 
 export interface ProcessControl {
-  /** Version of the fleet text at a process; 0 when it has none. */
-  fleetVersion (member: string): Promise<HeldVersion>
+  /** Version of the fleet text at a process, 0 when it has none. A process that is known to hold `version` is not asked again. */
+  fleetVersion (member: string, version: number): Promise<HeldVersion>
   /** Asks a process to shut down gracefully. */
   drain (member: string): Promise<Result<void, AdminProblem>>
 }
@@ -28,6 +28,7 @@
 }
 
 const fleetDocument = 'config/fleet'
+const maxKnownVersions = 10_000
 
 /** Names of the documents held here, so that an exchange returns versions and not all documents. */
 function digestOf (documents: Documents, membership: Membership): Readonly<Record<string, number>> {
@@ -43,24 +44,39 @@
   }))
 }
 
+/** An answer names only documents that differ: newer ones with their value or their version, older ones with their version. */
+function versionIn (answer: { readonly digest: Readonly<Record<string, number>>, readonly documents: ReadonlyArray<{ readonly name: string, readonly version: number }> }, own: number): number {
+  return answer.documents.find(document => document.name === fleetDocument)?.version ?? answer.digest[fleetDocument] ?? own
+}
+
 /** Reaches processes through their control listeners. */
 export function createProcessControl (options: ProcessControlOptions): ProcessControl {
   const { documents, membership, fleetSecret, timeoutMs } = options
+  /** Highest known version by process and incarnation. */
+  const knownVersions = new Map<string, number>()
 
   function find (id: string): Member | undefined {
     return [...membership.routers(), ...membership.endpoints()].find(member => member.id === id)
   }
 
   return {
-    async fleetVersion (id) {
+    async fleetVersion (id, version) {
       const member = find(id)
       if (member === undefined) return { kind: 'unreachable' }
+      const life = `${id}.${member.incarnation}`
+      const known = knownVersions.get(life)
+      // Versions never go back, so a poll costs calls only to processes that lag behind.
+      if (known !== undefined && known >= version) return { kind: 'held', version: known }
       if (id === membership.self.id) return { kind: 'held', version: documents.get(fleetDocument)?.version ?? 0 }
       if (member.role === 'endpoint') return { kind: 'notReported' }
       try {
         const client = createRouterClient({ url: member.controlUrl, fleetSecret, timeoutMs })
-        const { digest } = await client.documents.exchange.mutate({ digest: digestOf(documents, membership), documents: [] })
-        return { kind: 'held', version: digest[fleetDocument] ?? 0 }
+        const digest = digestOf(documents, membership)
+        const held = versionIn(await client.documents.exchange.mutate({ digest, documents: [] }), digest[fleetDocument] ?? 0)
+        // Processes are replaced all the time; forgetting costs one more call to each.
+        if (knownVersions.size >= maxKnownVersions) knownVersions.clear()
+        knownVersions.set(life, held)
+        return { kind: 'held', version: held }
       } catch {
         return { kind: 'unreachable' }
       }
--- /dev/null
+++ b/packages/admin/src/node/storedBudgets.ts
@@ -0,0 +1,71 @@
+/** Budgets in the platform's objects, for the administration API. */
+import { Ok, type Result } from 'ts-results-es'
+import { assertNever } from '@buckthorndrift/kernel'
+import {
+  createBudgetOn, ensureBudgetLayout, readBudgetShard, topUpBudgetOn, type BudgetOperationError, type BudgetReport, type ObjectStore
+} from '@buckthorndrift/platform'
+import { shardOf, type BudgetEntry } from '@buckthorndrift/policy'
+import type { BudgetAdministration, BudgetBalance } from '../shared/budgetAdministration.ts'
+import { problemOf, type AdminProblem } from '../shared/problem.ts'
+
+/** Shards read at the same time, to stay within the platform's rate limits. */
+const concurrentReads = 8
+
+function problemFrom (error: BudgetOperationError): AdminProblem {
+  switch (error.kind) {
+    case 'unknownBudget': return problemOf('notFound', 'the budget was not created completely; create it again with the same operation id')
+    case 'budgetExists': return problemOf('conflict', 'the budget exists already; grant further tokens with a top-up')
+    case 'operationReused': return problemOf('conflict', `the operation id was used before with ${error.tokens} tokens; choose another one`)
+    case 'badAmount': return problemOf('badRequest', 'the number of tokens is out of range')
+    case 'unavailable': return problemOf('unavailable', `the platform did not answer: ${error.detail}; repeat with the same operation id`, { mayHaveApplied: true })
+    case 'malformed': return problemOf('internal', error.detail)
+    default: return assertNever(error)
+  }
+}
+
+function balanceOfReport ({ grantedTokens, spentTokens, heldTokens }: BudgetReport): BudgetBalance {
+  return { grantedTokens, spentTokens, heldTokens }
+}
+
+function balanceOfEntry ({ grantedTokens, spentTokens, slices }: BudgetEntry): BudgetBalance {
+  const settledTokens = slices.reduce((sum, slice) => sum + slice.settledTokens, 0)
+  const capTokens = slices.reduce((sum, slice) => sum + slice.capTokens, 0)
+  return { grantedTokens, spentTokens: spentTokens + settledTokens, heldTokens: capTokens - settledTokens }
+}
+
+/** The organisation is the first part of a full budget name. */
+function organisationOf (budget: string): string {
+  return budget.slice(0, budget.indexOf('/'))
+}
+
+/** Creates the administration of budgets on an object store. */
+export function createStoredBudgets (store: ObjectStore): BudgetAdministration {
+  return {
+    async create (budget, grantedTokens, operationId) {
+      const created = await createBudgetOn(store, { budget, organisation: organisationOf(budget), grantedTokens, operationId })
+      return created.map(balanceOfReport).mapErr(problemFrom)
+    },
+
+    async topUp (budget, tokens, operationId) {
+      return (await topUpBudgetOn(store, budget, operationId, tokens)).map(balanceOfReport).mapErr(problemFrom)
+    },
+
+    async read (budgets): Promise<Result<ReadonlyMap<string, BudgetBalance>, AdminProblem>> {
+      const layout = await ensureBudgetLayout(store)
+      if (layout.isErr()) return layout.mapErr(problemFrom)
+      const balances = new Map<string, BudgetBalance>()
+      const shards = [...new Set(budgets.map(budget => shardOf(budget, layout.value.shards)))]
+      for (let first = 0; first < shards.length; first += concurrentReads) {
+        const reads = await Promise.all(shards.slice(first, first + concurrentReads).map(shard => readBudgetShard(store, shard)))
+        for (const read of reads) {
+          if (read.isErr()) return read.mapErr(problemFrom)
+          for (const budget of budgets) {
+            const entry = read.value.shard.budgets.get(budget)
+            if (entry !== undefined) balances.set(budget, balanceOfEntry(entry))
+          }
+        }
+      }
+      return Ok(balances)
+    }
+  }
+}
--- a/packages/cli/src/node/commands/fleet.ts
+++ b/packages/cli/src/node/commands/fleet.ts
@@ -14,7 +14,7 @@
 type Change = Checked['changes'][number]
 
 const fileArg = positional({ displayName: 'file', type: string, description: 'file with the fleet text; - reads standard input' })
-const pollIntervalMs = 300
+const pollIntervalMs = 500
 
 function readText (file: string): Result<string, ExitCode> {
   try {
--- a/packages/router/src/shared/routerSettings.ts
+++ b/packages/router/src/shared/routerSettings.ts
@@ -2,6 +2,7 @@
 import { Err, Ok, type Result } from 'ts-results-es'
 import { defineSettings, environmentName, flagName, resolveSettings, type SettingsOf, type SettingsSources } from '@buckthorndrift/kernel'
 import { parseAdminKeys, type AdminKey, type TlsFiles } from '@buckthorndrift/admin'
+import type { CallerSettings } from './callerSettings.ts'
 
 export const routerSettings = defineSettings({
   id: { kind: 'text', summary: 'id of this process, unique in the fleet' },
@@ -39,7 +40,9 @@
   budgetShards: { kind: 'number', summary: 'shards of the budget ledger, used only when the layout is created', unit: 'shards', min: 1, max: 9999, default: 16 },
   budgetFlushMs: { kind: 'number', summary: 'interval of writes of settled tokens', unit: 'ms', min: 100, max: 600_000, default: 15_000 },
   reclaimWaitMs: { kind: 'number', summary: 'longest wait for a running request of a lost router before it counts as wholly spent', unit: 'ms', min: 0, max: 86_400_000, default: 60_000 },
-  recordFlushMs: { kind: 'number', summary: 'interval of writes of billing records and refusal accounts', unit: 'ms', min: 10, max: 600_000, default: 2000 },
+  recordsFlushMs: { kind: 'number', summary: 'interval of writes of billing records and refusal accounts', unit: 'ms', min: 10, max: 600_000, default: 2000 },
+  recordHandoverMs: { kind: 'number', summary: 'time after which this router stores refusal accounts that a peer has copied here and not stored itself', unit: 'ms', min: 10, max: 86_400_000, default: 30_000 },
+  replicateTimeoutMs: { kind: 'number', summary: 'longest time that a refusal waits for its copy at a peer router', unit: 'ms', min: 1, max: 60_000, default: 250 },
   recordsLimitBytes: { kind: 'number', summary: 'most bytes of records that wait for the platform; at the limit new requests are refused', unit: 'bytes', min: 65_536, max: 1e10, default: 33_554_432 },
   drainLimitMs: { kind: 'number', summary: 'longest graceful shutdown', unit: 'ms', min: 0, max: 86_400_000, default: 600_000 },
 
@@ -66,6 +69,19 @@
   return certificatePath === '' ? undefined : { certificatePath, keyPath }
 }
 
+/** Settings of the caller path, which names some of them differently. */
+export function callerSettingsOf (settings: RouterSettings): Partial<CallerSettings> {
+  return {
+    maxBodyBytes: settings.requestLimitBytes,
+    maxConnections: settings.connectionLimit,
+    defaultDeadlineMs: settings.defaultDeadlineMs,
+    maxDeadlineMs: settings.deadlineLimitMs,
+    streamBufferBytes: settings.streamLimitBytes,
+    silenceMs: settings.silenceMs,
+    controlTimeoutMs: settings.controlTimeoutMs
+  }
+}
+
 function place (name: keyof RouterSettings): string {
   return `${flagName(name)} (${environmentName(name)})`
 }
