--- a/packages/admin/src/node/__tests__/fixture.ts
+++ b/packages/admin/src/node/__tests__/fixture.ts
@@ -4,7 +4,7 @@
 import { definePlugin, silentLog, silentMetrics, startKernel, SystemTimers, type Kernel } from '@buckthorndrift/kernel'
 import { documentsKey, membershipKey, objectStoreKey, type Documents, type Membership, type ObjectStore, type StoredObject } from '@buckthorndrift/platform'
 import type { Member } from '@buckthorndrift/protocol'
-import { adminListenerKey, createAdminClient, createAdminPlugin, type AdminClient } from '../../index.ts'
+import { adminListenerKey, createAdminClient, createAdminPlugin, createStoredBudgetsPlugin, type AdminClient } from '../../index.ts'
 
 export const adminKey = 'operator-key'
 export const sha256 = (text: string): string => createHash('sha256').update(text).digest('hex')
@@ -91,7 +91,7 @@
   const admin = createAdminPlugin({
     host: '127.0.0.1', port: 0, keys: [{ name: 'other', hash: sha256('other') }, { name: 'anna', hash: sha256(adminKey) }], fleetSecret: 's', drainSelf () { fixture.drains++ }
   })
-  const kernel = await startKernel({ timers: new SystemTimers(), log: silentLog, metrics: silentMetrics, plugins: [platform, admin] })
+  const kernel = await startKernel({ timers: new SystemTimers(), log: silentLog, metrics: silentMetrics, plugins: [platform, createStoredBudgetsPlugin(), admin] })
   const url = `http://127.0.0.1:${kernel.use(adminListenerKey).port}`
   return Object.assign(fixture, { url, kernel, client: createAdminClient({ url, key: adminKey, timeoutMs: 10_000 }) })
 }
--- a/packages/admin/src/node/adminPlugin.ts
+++ b/packages/admin/src/node/adminPlugin.ts
@@ -3,6 +3,7 @@
 import { definePlugin, serviceKey, type Plugin } from '@buckthorndrift/kernel'
 import { documentsKey, membershipKey, objectStoreKey } from '@buckthorndrift/platform'
 import type { AdminKey } from '../shared/adminKeys.ts'
+import type { BudgetAdministration } from '../shared/budgetAdministration.ts'
 import { createAdminApp } from './adminApp.ts'
 import { createBudgetHandlers } from './handlers/budgets.ts'
 import { createFleetHandlers } from './handlers/fleet.ts'
@@ -13,7 +14,9 @@
 import { openListener, type Listener, type TlsFiles } from './listener.ts'
 import { OrganisationStore } from './organisationStore.ts'
 import { createProcessControl } from './processControl.ts'
-import { createStoredBudgets } from './storedBudgets.ts'
+
+/** Budgets as another plug-in stores them. */
+export const budgetAdministrationKey = serviceKey<BudgetAdministration>('budgetAdministration')
 
 /** The open administration listener. */
 export interface AdminListener {
@@ -40,7 +43,7 @@
 /** Time for another process to answer a question of the administration API. */
 const processTimeoutMs = 3000
 
-/** Needs object store, documents and membership. */
+/** Needs object store, documents, membership and budget administration. */
 export function createAdminPlugin (options: AdminOptions): Plugin {
   return definePlugin({
     name: 'admin',
@@ -52,7 +55,7 @@
         store,
         documents,
         membership,
-        budgets: createStoredBudgets(store),
+        budgets: context.use(budgetAdministrationKey),
         processes: createProcessControl({ documents, membership, fleetSecret: options.fleetSecret, timeoutMs: processTimeoutMs, drainSelf: options.drainSelf }),
         timers: context.timers,
         log: context.log
