Drop the second route matcher

The router matches calls with matchCall of the policy package; findCall did the same and had no caller. What the parser has to guarantee is now a property test: accepted routes give every path one call whatever their order.

An empty dependsOn is left out of differences, because it showed as a line without content for every new service.

--- a/packages/policy/src/shared/fleet/__tests__/parseFleetText.test.ts
+++ b/packages/policy/src/shared/fleet/__tests__/parseFleetText.test.ts
@@ -1,6 +1,7 @@
 import fc from 'fast-check'
 import { describe, expect, it } from 'vitest'
-import { diffFleet, findCall, parseFleetText, problemText, type FleetConfig, type ServiceConfig } from '../index.ts'
+import { matchCall } from '../../routing/index.ts'
+import { diffFleet, parseFleetText, problemText, type FleetConfig, type ServiceConfig } from '../index.ts'
 
 const example = `services:
   carebot:
@@ -122,18 +123,19 @@
   })
 })
 
-describe('findCall', () => {
-  const service = parsed(example).services['boarding-desk'] as Extract<ServiceConfig, { kind: 'plain' }>
-
-  it.each([
-    ['GET', '/chambers/7', 1],
-    ['GET', '/chambers/all', 9],
-    ['POST', '/bookings', 20],
-    ['GET', '/chambers/', undefined],
-    ['GET', '/chambers/7/8', undefined],
-    ['POST', '/chambers/7', undefined]
-  ])('finds the narrowest call for %s %s', (method, path, priceTokens) => {
-    expect(findCall(service.calls, method, path)?.priceTokens).toBe(priceTokens)
+describe('accepted routes', () => {
+  const segment = fc.constantFrom('a', 'b', '*')
+  const path = fc.array(segment, { minLength: 1, maxLength: 3 }).map(segments => `/${segments.join('/')}`)
+
+  it('give every path one call whatever their order, so that its price is certain', () => {
+    fc.assert(fc.property(fc.array(path, { minLength: 1, maxLength: 5 }), path, (paths, asked) => {
+      const calls = paths.map(route => `{ route: "GET ${route}", idempotent: true, priceTokens: 1 }`).join(', ')
+      const result = parseFleetText(`services: { desk: { kind: plain, versions: [{ name: v1 }], endpointLimit: 1, calls: [${calls}] } }`)
+      if (result.isErr()) return
+      const { calls: accepted } = result.value.services['desk'] as Extract<ServiceConfig, { kind: 'plain' }>
+      const concrete = asked.replaceAll('*', 'c')
+      expect(matchCall(accepted.toReversed(), 'GET', concrete)).toEqual(matchCall(accepted, 'GET', concrete))
+    }), { numRuns: 2000 })
   })
 })
 
--- a/packages/policy/src/shared/fleet/fleetDiff.ts
+++ b/packages/policy/src/shared/fleet/fleetDiff.ts
@@ -22,7 +22,7 @@
     ])
   return [
     [`${name} kind`, service.kind],
-    [`${name} dependsOn`, service.dependsOn.join(', ')],
+    ...(service.dependsOn.length === 0 ? [] : [[`${name} dependsOn`, service.dependsOn.join(', ')] as const]),
     [`${name} endpointLimit`, String(service.endpointLimit)],
     [`${name} versions`, service.versions.map(version => version.name).join(', ')],
     ...service.versions.flatMap(version => version.moveByMs === undefined ? [] : [[`${name} versions ${version.name} moveByMs`, String(version.moveByMs)] as const]),
--- a/packages/policy/src/shared/fleet/routes.ts
+++ b/packages/policy/src/shared/fleet/routes.ts
@@ -1,6 +1,5 @@
 /** Routes of plain services, such as `GET /chambers/*`, where `*` stands for one path segment. */
 import { Err, Ok, type Result } from 'ts-results-es'
-import type { CallConfig } from './fleetConfig.ts'
 
 const methods = ['GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS']
 const segmentPattern = /^[A-Za-z0-9._~!$&'()+,;=:@%-]+$/
@@ -31,14 +30,6 @@
   return path.slice(1).split('/')
 }
 
-/** Whether a path without query matches the pattern. An empty segment matches nothing. */
-function matches (pattern: string, path: string): boolean {
-  const expected = segmentsOf(pattern)
-  const given = segmentsOf(path)
-  if (expected.length !== given.length) return false
-  return expected.every((segment, index) => segment === given[index] || (segment === '*' && given[index] !== ''))
-}
-
 /** Whether every path that `narrow` matches is matched by `wide`. */
 function covers (wide: string, narrow: string): boolean {
   const narrowSegments = segmentsOf(narrow)
@@ -56,9 +47,3 @@
     a.every((segment, index) => segment === b[index] || (segment === '*' && b[index] !== '') || (b[index] === '*' && segment !== ''))
   return overlaps && !covers(first.path, second.path) && !covers(second.path, first.path)
 }
-
-/** The call of a service that a request names: the narrowest match. `path` is without query. */
-export function findCall (calls: readonly CallConfig[], method: string, path: string): CallConfig | undefined {
-  const found = calls.filter(call => call.method === method && matches(call.path, path))
-  return found.find(call => found.every(other => covers(other.path, call.path)))
-}
