--- /dev/null
+++ b/packages/bench/src/node/capacity/sampleFleet.ts
@@ -0,0 +1,65 @@
+/** Objects of a platform that holds a fleet of a given size. */
+import { createHash } from 'node:crypto'
+import { startObjectApi, type ObjectApi } from '@buckthorndrift/standins'
+import { directoryDocument, directoryShardOf, directoryShards } from '@buckthorndrift/policy'
+import { memberListName } from '@buckthorndrift/platform'
+import type { Member } from '@buckthorndrift/protocol'
+
+export interface FleetSize {
+  /** API keys; one for each budget. */
+  readonly keys: number
+  readonly routers: number
+  readonly endpoints: number
+  readonly services: number
+}
+
+const failureDomains = ['a1', 'a2', 'b1', 'b2']
+const budgetsPerOrganisation = 10
+
+/** Nothing listens there: members of the sample are never spoken to. */
+const absentUrl = 'http://127.0.0.1:9'
+
+export function sampleMembers (size: FleetSize): readonly Member[] {
+  const memberOf = (role: Member['role'], number: number): Member => ({
+    id: `${role}-${number}`,
+    incarnation: createHash('md5').update(`${role}${number}`).digest('hex'),
+    role,
+    vm: `vm-${role}-${number}`,
+    failureDomain: failureDomains[number % failureDomains.length]!,
+    controlUrl: absentUrl,
+    ...(role === 'endpoint' ? { service: `service-${number % size.services}`, version: 'v1' } : {}),
+    leaving: false
+  })
+  return [
+    ...Array.from({ length: size.routers }, (_, number) => memberOf('router', number)),
+    ...Array.from({ length: size.endpoints }, (_, number) => memberOf('endpoint', number))
+  ]
+}
+
+export function sampleFleetText (services: number): string {
+  const service = (number: number) => `  service-${number}:\n    kind: model\n    maxOutputTokens: 512\n    endpointLimit: 8\n    versions:\n      - name: v1\n`
+  return `services:\n${Array.from({ length: services }, (_, number) => service(number)).join('')}`
+}
+
+export function sampleDirectory (keys: number): ReadonlyArray<Readonly<Record<string, { readonly organisation: string, readonly budget: string }>>> {
+  const shards = Array.from({ length: directoryShards }, (): Record<string, { organisation: string, budget: string }> => ({}))
+  for (let number = 0; number < keys; number++) {
+    const hash = createHash('sha256').update(`key ${number}`).digest('hex')
+    const organisation = `organisation-${Math.floor(number / budgetsPerOrganisation)}`
+    shards[directoryShardOf(hash)]![hash] = { organisation, budget: `${organisation}/budget-${number % budgetsPerOrganisation}` }
+  }
+  return shards
+}
+
+/** Starts the stand-in of the object API with the objects of the fleet. */
+export async function startSamplePlatform (size: FleetSize): Promise<ObjectApi> {
+  const api = await startObjectApi({ readsPerSecond: 1e6, writesPerSecond: 1e6 })
+  const put = (name: string, value: unknown): void => { api.table.write(name, value, 0) }
+  for (const [shard, keys] of sampleDirectory(size.keys).entries()) put(directoryDocument(shard), { keys })
+  const members = sampleMembers(size)
+  for (const failureDomain of failureDomains) {
+    put(memberListName(failureDomain), { members: members.filter(member => member.failureDomain === failureDomain) })
+  }
+  if (size.services > 0) put('config/fleet', { text: sampleFleetText(size.services), appliedBy: 'bench', appliedAtMs: 0 })
+  return api
+}
