Treat refusals of an endpoint's listener as not run

Cause: an endpoint process answers 503 without a request id until it has read the fences. The router took that for a foreign answer and sought the real one for up to 6 s.

Ruled out: relaying it, because only the gate's answers name the request.

Change: an error without a request id is `notRun` and another endpoint is tried; an answer that names another request still leads to an attach.

Conclusion: a test covers an endpoint whose gate is closed.

--- a/packages/kernel/src/shared/metricCatalogue.ts
+++ b/packages/kernel/src/shared/metricCatalogue.ts
@@ -19,6 +19,8 @@
   'budget.reserveMs': { kind: 'timing', unit: 'ms', summary: 'time to reserve the tokens of a request', tags: [] },
   'caller.durationMs': { kind: 'timing', unit: 'ms', summary: 'time from a request to the end of its response', tags: ['service', 'outcome'] },
   'caller.requests': { kind: 'counter', unit: 'requests', summary: 'requests of callers that were answered or refused', tags: ['service', 'outcome'] },
+  'caller.open': { kind: 'gauge', unit: 'requests', summary: 'requests of callers that are being answered', tags: [] },
+  'caller.waitingBytes': { kind: 'gauge', unit: 'bytes', summary: 'bytes of responses that their callers have not taken', tags: [] },
   'config.fleetVersion': { kind: 'gauge', unit: 'version', summary: 'version of the fleet text in force; differs between routers while a change spreads', tags: [] },
   'documents.exchangeFailed': { kind: 'counter', unit: 'exchanges', summary: 'exchanges of documents that a peer did not answer', tags: [] },
   'documents.learned': { kind: 'counter', unit: 'documents', summary: 'documents that replaced an older version', tags: [] },
--- a/packages/router/src/node/callers/callerHandler.ts
+++ b/packages/router/src/node/callers/callerHandler.ts
@@ -34,11 +34,19 @@
 
 export class CallerHandler {
   readonly #deps: CallerHandlerDeps
+  readonly #open = new Set<CallerAnswer>()
 
   constructor (deps: CallerHandlerDeps) {
     this.#deps = deps
   }
 
+  /** Sends the gauges of open requests. */
+  measure (): void {
+    const { metrics } = this.#deps.run
+    metrics.gauge('caller.open', this.#open.size)
+    metrics.gauge('caller.waitingBytes', [...this.#open].reduce((sum, answer) => sum + answer.waitingBytes, 0))
+  }
+
   /** `POST /v1/chat/completions` */
   chat (request: IncomingMessage, response: ServerResponse): Promise<void> {
     return this.#handle(request, response, planModelCall)
@@ -60,6 +68,7 @@
     const { timers, metrics, tracing } = this.#deps.run
     const startedMs = timers.monotonicMs()
     const answer = new CallerAnswer(response)
+    this.#open.add(answer)
     const span = tracing.tracer.startSpan('caller request', { attributes: { method: request.method ?? '' } }, tracing.extract(request.headers))
     if (this.#deps.isDraining()) response.setHeader('connection', 'close')
     const known: Known = { organisation: '', budget: '', service: '' }
@@ -71,6 +80,7 @@
       span.setStatus({ code: SpanStatusCode.ERROR, message: String(error) })
       await this.#refuse(answer, known, { verdict: mayHaveRun, reason: 'internal', detail: 'the router failed to handle the request' })
     }
+    this.#open.delete(answer)
     span.setAttributes({ ...known, outcome })
     span.end()
     metrics.increment('caller.requests', 1, { service: known.service, outcome })
--- a/packages/router/src/node/callers/callerPlugin.ts
+++ b/packages/router/src/node/callers/callerPlugin.ts
@@ -24,6 +24,7 @@
 
 /** Above the idle timeout of usual load balancers, which should be the side that closes. */
 const keepAliveTimeoutMs = 65_000
+const measureMs = 5000
 /** Interval at which the time limits of unfinished requests are checked. */
 const limitCheckMs = 2000
 
@@ -65,6 +66,7 @@
         isDraining: () => isDraining
       })
       const server = serverFor(handler, settings)
+      const stopMeasuring = context.timers.every(measureMs, () => { handler.measure() })
       return {
         async ready () {
           await listen(server, options.port, options.host)
@@ -78,6 +80,7 @@
           await forwarding.drain()
         },
         async close () {
+          stopMeasuring()
           await stopListening(server)
           await forwarding.close()
         }
--- a/packages/router/src/node/forward/__tests__/streams.test.ts
+++ b/packages/router/src/node/forward/__tests__/streams.test.ts
@@ -109,6 +109,20 @@
       expect(await response.text()).toBe('own')
     })
 
+    it('goes on to another endpoint when one has not opened its gate yet', async () => {
+      const closed = new FakeEndpoint('e1')
+      closed.script = ({ response }) => {
+        response.removeHeader('bd-request-id')
+        response.writeHead(503).end()
+      }
+      await start([closed, new FakeEndpoint('e2')])
+      for (let index = 0; index < 6; index++) {
+        const response = await fetch(`${rig.url}/services/desk/bookings`, { method: 'POST', headers: callerHeaders(), body: '{}' })
+        expect(response.status).toBe(200)
+      }
+      expect(closed.attached).toHaveLength(0)
+    })
+
     it('does not let an answer look whole that the back end broke off', async () => {
       const endpoint = new FakeEndpoint('e1', { service: 'bot' })
       endpoint.script = ({ call, response }) => {
--- a/packages/router/src/node/forward/attempt.ts
+++ b/packages/router/src/node/forward/attempt.ts
@@ -87,8 +87,9 @@
     this.#upstream = this.#exchange(pool, method, path, headers, body)
     const head = await this.#upstream.head
     if (head.isOk()) {
-      // An answer to something else, such as one of Node's own to headers that are too long, is nobody's answer.
-      return this.#isOwn(head.value) ? this.#accept(head.value) : this.#recover({ kind: 'broken', detail: 'the answer names no request' })
+      if (this.#isOwn(head.value)) return this.#accept(head.value)
+      if (isFromListener(head.value)) return this.#refusedByListener(head.value)
+      return this.#recover({ kind: 'broken', detail: 'the answer names another request' })
     }
     if (head.error.kind === 'invalid') return failed({ verdict: notRun, reason: 'badRequest', detail: `the request cannot be forwarded: ${head.error.detail}` })
     if (head.error.kind === 'notSent') {
@@ -170,6 +171,11 @@
     return head.headers[requestIdHeader] === this.#request.requestId
   }
 
+  #refusedByListener (head: UpstreamHead): Result<never, AttemptFailure> {
+    this.#upstream?.abort()
+    return failed({ verdict: notRun, reason: 'endpointLost', detail: `the endpoint process does not take requests (status ${head.status})` })
+  }
+
   async #accept (head: UpstreamHead): Promise<Result<UpstreamHead, AttemptFailure>> {
     this.#deps.onLoad(this.endpoint, head.headers[loadHeader])
     if (head.headers[verdictHeader] === undefined) {
@@ -246,6 +252,11 @@
   }
 }
 
+/** The gate names the request in all of its answers; the listener in front of it refuses without a name, for example before the gate is open. */
+function isFromListener (head: UpstreamHead): boolean {
+  return head.status >= 400 && (head.headers[requestIdHeader] ?? '') === ''
+}
+
 const lost: Failure = { verdict: mayHaveRun, reason: 'endpointLost', detail: 'the endpoint was lost before it answered' }
 
 function failed (failure: Failure, settlement?: Settlement, isGone = false): Result<never, AttemptFailure> {
