Take TLS files on the router's caller and control listeners

Cause: the settings name certificate files that the listeners did not take, and the control URL was read before the listener had its port.

Change: both plug-ins create their servers with TLS when files are given; the URL in bd-call is read for each call.

Ruled out: a shared listener with the administration API, because the caller listener needs its own buffer limit and drain.

Conclusion: no test covers TLS on these two listeners yet.

--- a/packages/bench/src/node/retries/index.ts
+++ b/packages/bench/src/node/retries/index.ts
@@ -1,6 +1,6 @@
 /** Bench `retries`: attempts per request when half of the endpoints fail, with and without retry budget and avoidance. */
 import { avoidanceMs, chooseEndpoint, decideRetry, defaultRetryBudget, mayHaveRun, RetryBudget, type Candidate } from '@buckthorndrift/policy'
-import { createRandom, type Random } from '../routing/random.ts'
+import { createRandom, type Random } from '../../shared/random.ts'
 
 export interface RetriesOptions {
   readonly seed?: number
@@ -70,7 +70,7 @@
     const tried = new Set<string>()
     for (;;) {
       const id = chooseEndpoint({
-        candidates: this.#views.map(candidateOf), failureDomain: 'd0', affinity: [], tried, nowMs, random: this.#random.uniform
+        candidates: this.#views.map(candidateOf), failureDomain: 'd0', affinity: [], tried, nowMs, random: this.#random.next
       })
       const view = this.#views.find(other => other.id === id)
       if (view === undefined) return
@@ -85,7 +85,7 @@
         idempotent: true,
         attempts: tried.size,
         remainingMs: deadlineMs,
-        random: this.#random.uniform
+        random: this.#random.next
       })
       if (decision.kind === 'stop' || this.#budget?.tryTake(nowMs) === false) return
     }
--- a/packages/bench/src/node/routing/simulation.ts
+++ b/packages/bench/src/node/routing/simulation.ts
@@ -3,7 +3,7 @@
 import { decideRetry, defaultRetryBudget, notRun, RetryBudget, type Hasher } from '@buckthorndrift/policy'
 import { EventQueue } from './eventQueue.ts'
 import { createPolicy, type EndpointView, type Policy, type PolicyName } from './policies.ts'
-import { createRandom, type Random } from './random.ts'
+import { createRandom, type Random } from '../../shared/random.ts'
 import { SimulatedEndpoint, type EndpointModel } from './simulatedEndpoint.ts'
 
 export interface SimulationOptions {
@@ -109,11 +109,11 @@
 
   #arrive (meanGapMs: number): void {
     this.#events.after(this.#random.exponential(meanGapMs), () => {
-      const router = this.#routers[this.#random.index(this.#routers.length)] as Router
+      const router = this.#routers[this.#random.below(this.#routers.length)] as Router
       router.retries.noteFirstAttempt()
       if (this.#isMeasured) this.#requests += 1
       // Squaring makes a few prefixes popular, as shared system prompts are.
-      const prefix = Math.floor(this.#random.uniform() ** 2 * scenario.prefixes)
+      const prefix = Math.floor(this.#random.next() ** 2 * scenario.prefixes)
       this.#attempt(router, prefix, this.#events.nowMs, this.#isMeasured, new Set(), 1)
       this.#arrive(meanGapMs)
     })
@@ -121,7 +121,7 @@
 
   #attempt (router: Router, prefix: number, startMs: number, isMeasured: boolean, tried: Set<string>, attempts: number): void {
     const { nowMs } = this.#events
-    const view = router.pick({ views: router.views, prefix, tried, nowMs, random: () => this.#random.uniform() })
+    const view = router.pick({ views: router.views, prefix, tried, nowMs, random: () => this.#random.next() })
     if (view === undefined) { this.#refuse(isMeasured); return }
     tried.add(view.endpoint.id)
     view.ownInFlight += 1
@@ -137,7 +137,7 @@
       this.#events.after(delayMs, () => {
         view.ownInFlight -= 1
         this.#report(view)
-        view.avoidUntilMs = this.#events.nowMs + avoidFullMs * (0.5 + this.#random.uniform())
+        view.avoidUntilMs = this.#events.nowMs + avoidFullMs * (0.5 + this.#random.next())
         this.#retry(router, prefix, startMs, isMeasured, tried, attempts)
       })
     })
@@ -149,7 +149,7 @@
       idempotent: true,
       attempts,
       remainingMs: startMs + scenario.deadlineMs - this.#events.nowMs,
-      random: () => this.#random.uniform()
+      random: () => this.#random.next()
     })
     if (decision.kind === 'stop' || !router.retries.tryTake(this.#events.nowMs)) { this.#refuse(isMeasured); return }
     this.#events.after(decision.delayMs, () => { this.#attempt(router, prefix, startMs, isMeasured, tried, attempts + 1) })
--- a/packages/router/src/node/callers/callerPlugin.ts
+++ b/packages/router/src/node/callers/callerPlugin.ts
@@ -1,12 +1,13 @@
 /** Caller listener of a router: HTTP/1.1 for callers with an API key. */
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import { fromNodeHandler, H3, toNodeHandler, type EventHandler } from 'h3'
+import type { TlsFiles } from '@buckthorndrift/admin'
 import { definePlugin, type Plugin, type PluginContext, type Tracing } from '@buckthorndrift/kernel'
 import { defaultCallerSettings, type CallerSettings } from '../../shared/callerSettings.ts'
 import { configServiceKey, recordServiceKey } from '../../shared/services.ts'
 import { createForwarding } from '../forward/forwarding.ts'
-import { finishListening, listen, stopListening } from '../listening.ts'
+import { createListener, finishListening, listen, stopListening } from '../listening.ts'
 import { CallerHandler } from './callerHandler.ts'
 
 export interface CallerPluginOptions {
@@ -16,6 +17,8 @@
   readonly fleetSecret: string
   readonly tracing: Tracing
   readonly settings?: Partial<CallerSettings>
+  /** Plain HTTP without it. */
+  readonly tls?: TlsFiles | undefined
   /** Uniform in [0, 1). */
   readonly random: () => number
   /** Called with the bound port when the listener is open. */
@@ -33,12 +36,12 @@
   return fromNodeHandler((request, response) => handle(request as IncomingMessage, response as ServerResponse))
 }
 
-function serverFor (handler: CallerHandler, settings: CallerSettings): Server {
+async function serverFor (handler: CallerHandler, settings: CallerSettings, tls: TlsFiles | undefined): Promise<Server> {
   const app = new H3()
     .post('/v1/chat/completions', nodeHandler((request, response) => handler.chat(request, response)))
     .all('/services/**', nodeHandler((request, response) => handler.service(request, response)))
     .all('/**', nodeHandler((request, response) => handler.unknown(request, response)))
-  const server = createServer({
+  const server = await createListener({
     maxHeaderSize: settings.maxHeaderBytes,
     headersTimeout: settings.headersTimeoutMs,
     requestTimeout: settings.requestTimeoutMs,
@@ -46,7 +49,7 @@
     keepAliveTimeout: keepAliveTimeoutMs,
     highWaterMark: settings.streamBufferBytes,
     noDelay: true
-  }, toNodeHandler(app))
+  }, tls, toNodeHandler(app))
   server.maxConnections = settings.maxConnections
   return server
 }
@@ -65,7 +68,7 @@
         run: forwarding.deps,
         isDraining: () => isDraining
       })
-      const server = serverFor(handler, settings)
+      const server = await serverFor(handler, settings, options.tls)
       const stopMeasuring = context.timers.every(measureMs, () => { handler.measure() })
       return {
         async ready () {
--- a/packages/router/src/node/control/controlPlugin.ts
+++ b/packages/router/src/node/control/controlPlugin.ts
@@ -1,11 +1,11 @@
 /** Control listener of a router: tRPC for processes with the fleet secret. */
-import { createServer } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import { H3, toNodeHandler } from 'h3'
+import type { TlsFiles } from '@buckthorndrift/admin'
 import { definePlugin, type Plugin } from '@buckthorndrift/kernel'
 import { controlPath, createControlHandler, createRouterControl } from '@buckthorndrift/protocol'
 import { controlRegistryKey } from '../../shared/services.ts'
-import { listen, stopListening } from '../listening.ts'
+import { createListener, listen, stopListening } from '../listening.ts'
 import { HandlerRegistry } from './handlerRegistry.ts'
 
 export interface ControlPluginOptions {
@@ -13,6 +13,8 @@
   /** 0 takes a free port. */
   readonly port: number
   readonly fleetSecret: string
+  /** Plain HTTP without it. */
+  readonly tls?: TlsFiles | undefined
   /** Called with the bound port when the listener is open. */
   readonly onListening?: (port: number) => void
 }
@@ -26,14 +28,14 @@
 export function controlPlugin (options: ControlPluginOptions): Plugin {
   return definePlugin({
     name: 'control',
-    setup (context) {
+    async setup (context) {
       const registry = new HandlerRegistry()
       context.provide(controlRegistryKey, registry)
       const handle = createControlHandler(createRouterControl(registry.handlers), options.fleetSecret)
       const app = new H3().all(`${controlPath}/**`, event => handle(event.req))
-      const server = createServer({
+      const server = await createListener({
         maxHeaderSize: maxHeaderBytes, headersTimeout: headersTimeoutMs, requestTimeout: requestTimeoutMs
-      }, toNodeHandler(app))
+      }, options.tls, toNodeHandler(app))
       return {
         async ready () {
           await listen(server, options.port, options.host)
--- a/packages/router/src/node/forward/forwarding.ts
+++ b/packages/router/src/node/forward/forwarding.ts
@@ -79,7 +79,8 @@
     timers,
     tracing,
     versions: context.use(versionServiceKey),
-    routerUrl: self.controlUrl
+    // With an automatic address the URL is known only when the control listener is open.
+    routerUrl: () => membership.self.controlUrl
   }
   return {
     deps,
--- a/packages/router/src/node/forward/relay.ts
+++ b/packages/router/src/node/forward/relay.ts
@@ -151,7 +151,8 @@
   }
 
   #headersFor (place: RunPlace, settler: Settler, span: Span): Readonly<Record<string, string>> {
-    const { plan, deps } = { plan: this.#plan, deps: this.#deps }
+    const plan = this.#plan
+    const deps = this.#deps
     const held = settler.held
     if (held === undefined) throw new Error('a request is forwarded without a reservation')
     const remainingMs = Math.max(0, plan.deadlineAtMs - deps.timers.monotonicMs())
@@ -170,7 +171,7 @@
       ...(plan.priceTokens === undefined ? {} : { priceTokens: plan.priceTokens }),
       settledSeq: held.settledSeq,
       contentHash: plan.contentHash,
-      routerUrl: deps.routerUrl
+      routerUrl: deps.routerUrl()
     }
     return {
       ...plan.headers,
--- a/packages/router/src/node/forward/runDeps.ts
+++ b/packages/router/src/node/forward/runDeps.ts
@@ -40,5 +40,5 @@
   readonly tracing: Tracing
   readonly versions: VersionService
   /** Base URL of this router's control listener. */
-  readonly routerUrl: string
+  readonly routerUrl: () => string
 }
