--- a/packages/router/src/node/routerProcess.ts
+++ b/packages/router/src/node/routerProcess.ts
@@ -123,6 +123,7 @@
       port: settings.callerPort,
       fleetSecret,
       tracing,
+      tls: tlsFilesOf(settings, 'caller'),
       random: Math.random,
       settings: {
         maxBodyBytes: settings.requestLimitBytes,
