Show share, phase and reason of rollouts

The stored state of a rollout was passed through as it is; operators and scripts now get named fields and the description documents them. A state that cannot be read is left out, because its share would be a guess.

--- a/packages/admin/src/node/__tests__/adminApi.test.ts
+++ b/packages/admin/src/node/__tests__/adminApi.test.ts
@@ -94,6 +94,9 @@
       expect((await admin.client.call('listServices', {})).unwrap().items).toMatchObject([{ name: 'desk', versions: [{ name: 'v1', endpoints: 1, leaving: 0 }] }])
       expect((await admin.client.call('listMembers', {})).unwrap().items.map(member => [member.id, member.state])).toEqual([['r1', 'live'], ['r2', 'suspected'], ['e1', 'live']])
       expect((await admin.client.call('listRollouts', {})).unwrap().items).toEqual([])
+      const state = { service: 'desk', baseline: 'v0', target: 'v1', targetShare: 0, phase: { kind: 'rolledBack', reason: 'slow' }, startedAtMs: 5, holder: 'r1', fencingToken: 1 }
+      admin.learn(admin.store.put('rollouts/desk', state))
+      expect((await admin.client.call('listRollouts', {})).unwrap().items).toMatchObject([{ service: 'desk', target: 'v1', targetShare: 0, phase: 'rolledBack', reason: 'slow' }])
     })
 
     it('tells which processes follow and which cannot be asked', async () => {
--- a/packages/admin/src/node/__tests__/fixture.ts
+++ b/packages/admin/src/node/__tests__/fixture.ts
@@ -71,6 +71,8 @@
   readonly client: AdminClient
   readonly kernel: Kernel
   drains: number
+  /** Makes a document known to the router without a read. */
+  learn (document: StoredObject): void
 }
 
 export async function startAdmin (): Promise<AdminFixture> {
@@ -93,5 +95,5 @@
   })
   const kernel = await startKernel({ timers: new SystemTimers(), log: silentLog, metrics: silentMetrics, plugins: [platform, createStoredBudgetsPlugin(), admin] })
   const url = `http://127.0.0.1:${kernel.use(adminListenerKey).port}`
-  return Object.assign(fixture, { url, kernel, client: createAdminClient({ url, key: adminKey, timeoutMs: 10_000 }) })
+  return Object.assign(fixture, { url, kernel, learn: kernel.use(documentsKey).learn, client: createAdminClient({ url, key: adminKey, timeoutMs: 10_000 }) })
 }
--- a/packages/admin/src/node/handlers/processes.ts
+++ b/packages/admin/src/node/handlers/processes.ts
@@ -7,6 +7,17 @@
 import { fleetDocument } from './fleet.ts'
 import type { AdminServices, Handlers } from './handlers.ts'
 
+/** Part of the rollout's stored state that operators see. */
+const rolloutSchema = z.object({
+  baseline: z.string(),
+  target: z.string(),
+  targetShare: z.number(),
+  phase: z.object({ kind: z.enum(['moving', 'done', 'rolledBack']), reason: z.string().optional() }),
+  startedAtMs: z.number(),
+  moveByMs: z.number().optional(),
+  holder: z.string()
+})
+
 const storedTextSchema = z.object({ text: z.string() })
 
 function serviceOf (service: ServiceConfig, endpoints: readonly Member[]): OutputOf<'listServices'>['items'][number] {
@@ -66,7 +77,10 @@
       return Ok({
         items: Object.keys(fleet()?.services ?? {}).flatMap(service => {
           const document = documents.get(`rollouts/${service}`)
-          return document === undefined ? [] : [{ service, documentVersion: document.version, state: document.value }]
+          const state = rolloutSchema.safeParse(document?.value)
+          if (document === undefined || !state.success) return []
+          const { phase, ...rest } = state.data
+          return [{ service, documentVersion: document.version, ...rest, phase: phase.kind, ...(phase.reason === undefined ? {} : { reason: phase.reason }) }]
         })
       })
     }
--- a/packages/admin/src/shared/schemas.ts
+++ b/packages/admin/src/shared/schemas.ts
@@ -87,7 +87,14 @@
 export const rolloutStatus = z.object({
   service: z.string(),
   documentVersion: count,
-  state: z.unknown().describe('The stored state of the rollout.')
+  baseline: z.string(),
+  target: z.string(),
+  targetShare: z.number().describe('Share of the traffic that the target gets, 0 to 1.'),
+  phase: z.enum(['moving', 'done', 'rolledBack']),
+  reason: z.string().optional().describe('Why the target was rolled back.'),
+  startedAtMs: time,
+  moveByMs: time.optional(),
+  holder: z.string().describe('Router that judges the rollout.')
 })
 
 export const refusalEntry = refusalAccountSchema
--- a/packages/cli/src/node/commands/processes.ts
+++ b/packages/cli/src/node/commands/processes.ts
@@ -51,21 +51,20 @@
   })
 })
 
-/** Fields of the rollout's state in one line; the state is for reading only. */
-function stateText (state: unknown): string {
-  if (typeof state !== 'object' || state === null) return String(state)
-  return Object.entries(state).map(([name, value]) => `${name}=${typeof value === 'object' ? JSON.stringify(value) : String(value)}`).join(' ')
-}
-
 export const rolloutsCommand = command({
   name: 'rollouts',
-  description: 'List rollouts and their state.',
+  description: 'List rollouts: which share of the traffic the new version gets, and why one was rolled back.',
   args: { json: jsonArg, ...connectionArgs },
   handler: ({ json, ...flags }) => withConnection(flags, async ({ call }) => {
     const listed = await call('listRollouts', {})
     if (listed.isErr()) return listed.error
     if (json) printJson(listed.value.items)
-    else printTable(['SERVICE', 'STATE'], listed.value.items.map(({ service, state }) => [service, stateText(state)]), 'There are no rollouts.')
+    else {
+      const rows = listed.value.items.map(item => [
+        item.service, item.baseline, item.target, `${Math.round(item.targetShare * 100)} %`, item.phase, item.moveByMs === undefined ? '' : formatTime(item.moveByMs), item.reason ?? ''
+      ])
+      printTable(['SERVICE', 'FROM', 'TO', 'SHARE', 'PHASE', 'MOVE BY', 'REASON'], rows, 'There are no rollouts.')
+    }
     return exitCodes.done
   })
 })
