Keep processes running through their shutdown; start in worse outages

Causes: (1) an endpoint process ended with code 13 in a rolling replacement: timers do not keep Node.js running, so a shutdown that waits for nothing but a timer ended in the middle. A process now holds one plain interval until its shutdown is done. All missing prefixes are now read at once and those that succeeded stay.

--- a/packages/kernel/src/node/runProcess.ts
+++ b/packages/kernel/src/node/runProcess.ts
@@ -15,6 +15,8 @@
   start (requestStop: () => void): Promise<{ stop (): Promise<void> }>
 }
 
+const keepRunningMs = 60_000
+
 /** Resolves on SIGTERM or SIGINT, or when `request` is called. */
 function stopSignal (): { readonly requested: Promise<void>, request (): void } {
   let request = (): void => {}
@@ -27,6 +29,8 @@
 /** Resolves with the exit code: 0 after a graceful shutdown, 1 when the process failed or its shutdown took too long. */
 export async function runProcess (options: RunProcessOptions): Promise<number> {
   const { requested, request } = stopSignal()
+  // Timers do not keep a process running, so a shutdown that only waits for one would end it early.
+  const keepRunning = setInterval(() => {}, keepRunningMs)
   try {
     const running = await options.start(request)
     await requested
@@ -34,6 +38,8 @@
   } catch (error) {
     process.stderr.write(`The ${options.label} failed: ${error instanceof Error ? error.message : String(error)}\n`)
     return processExitCodes.failed
+  } finally {
+    clearInterval(keepRunning)
   }
 }
 
--- a/packages/platform/src/shared/documentsService.ts
+++ b/packages/platform/src/shared/documentsService.ts
@@ -174,9 +174,10 @@
     try {
       if (this.#members.size === 0) await this.#watchOf(membersPrefix).readAll()
       if (await this.#exchange.round()) return true
-      // What was read in an earlier attempt stays, so that a platform that often fails does not keep a process from starting.
-      for (const watch of this.#watches) if (!watch.isLoaded) await watch.readAll()
-      return true
+      // What was read stays, and one failure does not stop the others, so that a platform that often fails does not keep a process from starting.
+      const missing = this.#watches.filter(watch => !watch.isLoaded)
+      const reads = await Promise.allSettled(missing.map(watch => watch.readAll()))
+      return reads.every(read => read.status === 'fulfilled')
     } catch {
       return false
     }
