Add benches of overhead and slow readers

Cause: the cost of the path and the memory for slow readers had no figures.

Ruled out: holding the head of an answer back to join it with its first bytes in one write.

Change: benches `overhead` and `slowReaders` on real processes: router and endpoint process are started from an entry of the bench with a platform in memory.

--- /dev/null
+++ b/packages/bench/src/node/processes/platformFakes.ts
@@ -0,0 +1,33 @@
+/** Platform services with fixed members, so that a bench measures the path of calls alone. */
+import { definePlugin, SystemTimers, type Plugin } from '@buckthorndrift/kernel'
+import { documentsKey, membershipKey, MemoryObjectStore, objectStoreKey, type Documents, type Membership } from '@buckthorndrift/platform'
+import type { Member } from '@buckthorndrift/protocol'
+
+/** Provides object store, documents and membership; `endpoints` never change. */
+export function platformFakes (self: Member, endpoints: readonly Member[]): Plugin {
+  const store = new MemoryObjectStore({ timers: new SystemTimers() })
+  const documents: Documents = {
+    get: () => undefined,
+    subscribe: () => () => {},
+    learn () {},
+    refresh: name => store.read(name)
+  }
+  const membership: Membership = {
+    self,
+    routers: () => self.role === 'router' ? [self] : [],
+    endpoints: service => endpoints.filter(endpoint => service === undefined || endpoint.service === service),
+    noteUnreachable () {},
+    noteAlive () {},
+    isSuspected: () => false,
+    subscribe: () => () => {}
+  }
+  return definePlugin({
+    name: 'platformFakes',
+    setup (context) {
+      context.provide(objectStoreKey, store)
+      context.provide(documentsKey, documents)
+      context.provide(membershipKey, membership)
+      return undefined
+    }
+  })
+}
