--- a/packages/policy/src/shared/budget/shardHolder.ts
+++ b/packages/policy/src/shared/budget/shardHolder.ts
@@ -10,6 +10,7 @@
 import { HeldBudget, type WaitingReservation } from './heldBudget.ts'
 import { Reservations } from './reservations.ts'
 import { StoredView } from './storedView.ts'
+import { PendingRecalls } from './pendingRecalls.ts'
 import { RetryPause } from './retryPause.ts'
 import { planWrite, type WritePlan } from './writePlan.ts'
 import type { BudgetLimits } from './limits.ts'
@@ -38,7 +39,7 @@
   #isCollector = false
   #lastWriteMs: number
   readonly #pause: RetryPause
-  #recalls: { readonly id: number, readonly budgets: readonly string[] }[] = []
+  readonly #recalls = new PendingRecalls()
 
   constructor (options: HolderOptions) {
     this.holder = options.holder
@@ -59,7 +60,7 @@
 
   /** True when no slice is held and nothing is in progress. */
   get isEmpty (): boolean {
-    return this.#reservations.openCount === 0 && this.#operation === undefined &&
+    return this.#reservations.openCount === 0 && this.#operation === undefined && !this.#view.isUnresolved &&
       [...this.#held.values()].every(held => !held.hasStoredSlice && held.waiting.length === 0)
   }
 
@@ -94,7 +95,7 @@
       held.tightUntilMs = nowMs + this.#limits.tightMs
       held.isRecalled = held.hasStoredSlice
     }
-    this.#recalls.push({ id, budgets })
+    this.#recalls.add(id, budgets)
     return this.#advance(nowMs)
   }
 
@@ -153,9 +154,7 @@
       this.#effects.push({ kind: 'orphan', budget, seq, tokens })
       this.#settle(budget, seq, tokens, nowMs)
     }
-    for (const [budget, held] of this.#held) {
-      if (held.isDisposable && nowMs - held.lastUsedMs >= this.#limits.closeIdleMs) this.#held.delete(budget)
-    }
+    if (this.#operation === undefined && !this.#view.isUnresolved) this.#dropUnused(nowMs)
     return this.#advance(nowMs)
   }
 
@@ -171,11 +170,17 @@
     if (this.#state !== 'fenced') this.#effects.push({ kind: 'fenced' })
     this.#state = 'fenced'
     this.#refuseAll()
-    for (const { id } of this.#recalls) this.#effects.push({ kind: 'recalled', id })
-    this.#recalls = []
+    this.#clearRecalls()
     return this.#take()
   }
 
+  /** Not while a write is under way, which may open a slice. */
+  #dropUnused (nowMs: number): void {
+    for (const [budget, held] of this.#held) {
+      if (held.isDisposable && nowMs - held.lastUsedMs >= this.#limits.closeIdleMs) this.#held.delete(budget)
+    }
+  }
+
   #heldOf (budget: string, nowMs: number): HeldBudget {
     const present = this.#held.get(budget)
     if (present !== undefined) return present
@@ -216,7 +221,7 @@
     if (this.#state === 'fenced') return this.#take()
     let needsRead = this.#view.known === undefined && this.#hasReasonToRead()
     for (const [budget, held] of this.#held) needsRead = this.#serve(budget, held, nowMs) || needsRead
-    this.#answerRecalls()
+    this.#effects.push(...this.#recalls.takeDone(this.#held))
     if (this.#operation === undefined && this.#pause.isOver(nowMs)) {
       if (needsRead) this.#startRead(nowMs)
       else this.#startWrite(nowMs)
@@ -225,7 +230,7 @@
   }
 
   #hasReasonToRead (): boolean {
-    if (this.#recalls.length > 0) return true
+    if (!this.#recalls.isEmpty || this.#view.isUnresolved) return true
     return [...this.#held.values()].some(held => held.hasStoredSlice || held.waiting.length > 0)
   }
 
@@ -285,14 +290,6 @@
     }
   }
 
-  #answerRecalls (): void {
-    if (this.#recalls.length === 0) return
-    const isWaiting = (budget: string) => this.#held.get(budget)?.isRecalled === true
-    const done = this.#recalls.filter(recall => !recall.budgets.some(isWaiting))
-    this.#recalls = this.#recalls.filter(recall => !done.includes(recall))
-    for (const { id } of done) this.#effects.push({ kind: 'recalled', id })
-  }
-
   #startRead (nowMs: number): void {
     this.#operation = { kind: 'read', startedMs: nowMs }
     this.#effects.push({ kind: 'read' })
@@ -309,6 +306,7 @@
       flushedSeq: this.#view.flushedSeq,
       isCollector: this.#isCollector,
       isDraining: this.#state === 'draining',
+      isUnresolved: this.#view.isUnresolved,
       limits: this.#limits,
       nowMs
     })
@@ -344,6 +342,6 @@
   /** Nothing is left to write, so all recalls are answered by the stored state. */
   #clearRecalls (): void {
     for (const held of this.#held.values()) held.isRecalled = false
-    this.#answerRecalls()
+    this.#effects.push(...this.#recalls.takeDone(this.#held))
   }
 }
--- a/packages/policy/src/shared/budget/storedView.ts
+++ b/packages/policy/src/shared/budget/storedView.ts
@@ -23,6 +23,11 @@
     return this.#flushedSeq
   }
 
+  /** Whether a write without a reply may still take effect. */
+  get isUnresolved (): boolean {
+    return this.#unresolvedVersion !== undefined
+  }
+
   /** The known shard is out of date. */
   invalidate (): void {
     this.#known = undefined
--- a/packages/policy/src/shared/budget/writePlan.ts
+++ b/packages/policy/src/shared/budget/writePlan.ts
@@ -12,6 +12,8 @@
   readonly flushedSeq: number
   readonly isCollector: boolean
   readonly isDraining: boolean
+  /** A write without a reply may still take effect; only a later confirmed write rules that out. */
+  readonly isUnresolved: boolean
   readonly limits: BudgetLimits
   readonly nowMs: number
 }
@@ -86,7 +88,7 @@
 /** The next write, or `undefined` when nothing has changed. */
 export function planWrite (input: PlanInput): WritePlan | undefined {
   const changes: SliceChange[] = []
-  let urgency: WriteUrgency | undefined = input.settledSeq > input.flushedSeq ? 'flush' : undefined
+  let urgency: WriteUrgency | undefined = input.settledSeq > input.flushedSeq || input.isUnresolved ? 'flush' : undefined
   for (const [budget, held] of input.held) {
     const entry = input.shard.budgets.get(budget)
     if (entry === undefined) continue
@@ -97,6 +99,6 @@
     changes.push(planned.change)
     if (planned.urgency !== undefined && (urgency === undefined || urgencies.indexOf(planned.urgency) < urgencies.indexOf(urgency))) urgency = planned.urgency
   }
-  if (urgency === undefined || changes.length === 0) return undefined
+  if (urgency === undefined || (changes.length === 0 && !input.isUnresolved)) return undefined
   return { value: changeSlices(input.shard, input.holder, input.settledSeq, changes), settledSeq: input.settledSeq, changes, urgency }
 }
