--- a/packages/kernel/src/shared/eventCatalogue.ts
+++ b/packages/kernel/src/shared/eventCatalogue.ts
@@ -1,44 +1,30 @@
 /**
  * The catalogue of log events, the only source of event numbers and of
  * docs/events.md. A number is never given to another event.
- *
- * Ranges: 1000 kernel, 1100 platform and documents, 1200 budgets, 1300 router,
- * 1400 endpoint, 1500 records, 1600 rollouts, 1700 administration.
  */
+import { adminEvents } from './events/adminEvents.ts'
+import { budgetEvents } from './events/budgetEvents.ts'
+import { endpointEvents } from './events/endpointEvents.ts'
+import { kernelEvents } from './events/kernelEvents.ts'
+import { platformEvents } from './events/platformEvents.ts'
+import { recordsEvents } from './events/recordsEvents.ts'
+import { rolloutsEvents } from './events/rolloutsEvents.ts'
+import { routerEvents } from './events/routerEvents.ts'
+import type { EventDefinition } from './events/eventDefinition.ts'
 
-export type EventLevel = 'debug' | 'info' | 'warn' | 'error'
+export type { EventDefinition, EventLevel } from './events/eventDefinition.ts'
 
-export interface EventDefinition {
-  readonly number: number
-  readonly level: EventLevel
-  readonly message: string
-  /** What an operator does about it; `none` when nothing is asked for. */
-  readonly action: string
+const events = {
+  ...kernelEvents,
+  ...platformEvents,
+  ...budgetEvents,
+  ...routerEvents,
+  ...endpointEvents,
+  ...recordsEvents,
+  ...rolloutsEvents,
+  ...adminEvents
 }
 
-function defineEvents<Name extends string> (events: Readonly<Record<Name, EventDefinition>>): Readonly<Record<Name, EventDefinition>> {
-  return events
-}
-
-export const eventCatalogue = defineEvents({
-  processStarted: { number: 1000, level: 'info', message: 'process started', action: 'none' },
-  processDraining: { number: 1001, level: 'info', message: 'graceful shutdown started', action: 'none' },
-  processStopped: { number: 1002, level: 'info', message: 'process stopped', action: 'none' },
-  taskFailed: { number: 1003, level: 'error', message: 'task failed to handle a message', action: 'Report the error text; the process goes on.' },
-  drainTimedOut: { number: 1004, level: 'warn', message: 'graceful shutdown exceeded its time limit', action: 'Raise the drain limit if streams need longer.' },
-  settingsRejected: { number: 1005, level: 'error', message: 'settings are invalid', action: 'Correct the named settings and start again.' },
-  budgetInvariantFailed: { number: 1200, level: 'error', message: 'a write of a budget shard was stopped by an invariant', action: 'Report the detail; the budgets of the shard are not drawn on until it is resolved.' },
-  budgetShardMalformed: { number: 1201, level: 'error', message: 'stored budget shard is malformed', action: 'Compare the object with docs/design.md section 4; reservations of its budgets are refused.' },
-  budgetWriteFailed: { number: 1202, level: 'warn', message: 'write of a budget shard failed and will be repeated', action: 'none' },
-  budgetHolderFenced: { number: 1203, level: 'warn', message: 'slices of this router were closed by another one; it continues under a new incarnation', action: 'Check whether the router was paused or cut off.' },
-  budgetReservationOrphaned: { number: 1204, level: 'warn', message: 'a reservation was never settled and counts as wholly spent', action: 'Check whether a router was lost at that time.' },
-
-  recordsStored: { number: 1500, level: 'debug', message: 'stored a batch of records', action: 'none' },
-  recordsWaiting: { number: 1501, level: 'warn', message: 'records wait because the platform did not take them', action: 'Restore the platform. At the bound the router refuses new requests.' },
-  recordsFull: { number: 1502, level: 'error', message: 'waiting records reached their memory bound; new requests are refused', action: 'Restore the platform, or replace the router after its records were handed over.' },
-  accountsNotCopied: { number: 1503, level: 'warn', message: 'no peer router took a copy of the refusal accounts', action: 'Check the other routers; until one answers, a lost router loses its last refusal accounts.' },
-  copiesStored: { number: 1504, level: 'info', message: 'stored refusal accounts of a peer that did not store them itself', action: 'none' },
-  acknowledgeFailed: { number: 1505, level: 'debug', message: 'endpoint process could not be told that its records are stored', action: 'none; it hands them over and readers drop the duplicates.' },
-})
+export type EventName = keyof typeof events
 
-export type EventName = keyof typeof eventCatalogue
+export const eventCatalogue: Readonly<Record<EventName, EventDefinition>> = events
