--- a/packages/cli/src/node/__tests__/commandLine.test.ts
+++ b/packages/cli/src/node/__tests__/commandLine.test.ts
@@ -94,8 +94,8 @@
   describe('fleet text', () => {
     it('shows file, line and column of each problem and exits with 1', async () => {
       const file = fileWith('bad.yaml', text(0))
-      const [checked, applied] = await Promise.all([cli('check', file), cli('apply', file, '--yes')])
-      for (const { code, err } of [checked, applied]) {
+      const ended = await Promise.all([cli('check', file), cli('check', file, '--local', '--url', 'http://127.0.0.1:1'), cli('apply', file, '--yes')])
+      for (const { code, err } of ended) {
         expect(code).toBe(1)
         expect(err).toContain(`${file}:5:5: services.desk.endpointLimit`)
       }
--- a/packages/cli/src/node/__tests__/docs.test.ts
+++ b/packages/cli/src/node/__tests__/docs.test.ts
@@ -1,8 +1,9 @@
-import { readFileSync } from 'node:fs'
+import { readdirSync, readFileSync } from 'node:fs'
 import { join } from 'node:path'
 import { fileURLToPath } from 'node:url'
 import { describe, expect, it } from 'vitest'
-import { describeEvents, describeMetrics, describeSettings, eventCatalogue, metricCatalogue } from '@buckthorndrift/kernel'
+import { endpointSettings } from '@buckthorndrift/endpoint'
+import { describeEvents, describeMetrics, describeSettings, eventCatalogue, flagName, metricCatalogue } from '@buckthorndrift/kernel'
 import { routerSettings } from '@buckthorndrift/router'
 
 const root = fileURLToPath(new URL('../../../../../', import.meta.url))
@@ -12,10 +13,22 @@
   it('docs/events.md is fresh', () => { expect(page('events.md')).toBe(describeEvents()) })
   it('docs/metrics.md is fresh', () => { expect(page('metrics.md')).toBe(describeMetrics()) })
 
-  it('docs/settings.md is fresh', async () => {
-    const endpoint: { readonly endpointSettings?: typeof routerSettings } = await import('@buckthorndrift/endpoint') as object
-    const processes = { 'Router process': routerSettings, ...(endpoint.endpointSettings === undefined ? {} : { 'Endpoint process': endpoint.endpointSettings }) }
-    expect(page('settings.md')).toBe(describeSettings(processes))
+  it('docs/settings.md is fresh', () => {
+    expect(page('settings.md')).toBe(describeSettings({ 'Router process': routerSettings, 'Endpoint process': endpointSettings }))
+  })
+})
+
+describe('docs/operations.md', () => {
+  it('names only flags and commands that exist, so that nobody looks for them during an outage', () => {
+    const settings = [...Object.keys(routerSettings), ...Object.keys(endpointSettings)].map(flagName)
+    const sources = readdirSync(join(root, 'packages/cli/src/node'), { recursive: true, encoding: 'utf8' })
+      .filter(file => file.endsWith('.ts') && !file.includes('__tests__'))
+      .map(file => readFileSync(join(root, 'packages/cli/src/node', file), 'utf8')).join('\n')
+    const flags = [...page('operations.md').matchAll(/--[a-z][a-z-]+/g)].map(([flag]) => flag)
+    const commands = [...page('operations.md').matchAll(/buckthorndrift ([a-z][a-z-]+)/g)].map(([, name]) => name)
+    expect(flags.filter(flag => !settings.includes(flag) && !sources.includes(`long: '${flag.slice(2)}'`))).toEqual([])
+    expect(commands.filter(name => !sources.includes(`name: '${name}'`))).toEqual([])
+    expect([flags.length > 10, commands.length > 10]).toEqual([true, true])
   })
 })
 
--- a/packages/cli/src/node/commands/fleet.ts
+++ b/packages/cli/src/node/commands/fleet.ts
@@ -5,9 +5,10 @@
 import { command, flag, number, option, optional, positional, string } from 'cmd-ts'
 import { Err, Ok, type Result } from 'ts-results-es'
 import type { OutputOf } from '@buckthorndrift/admin'
+import { parseFleetText } from '@buckthorndrift/policy'
 import { exitCodes, type ExitCode } from '../../shared/exitCodes.ts'
 import { formatTime } from '../../shared/times.ts'
-import { connectionArgs, jsonArg, withConnection, type Connection } from '../connection.ts'
+import { connectionArgs, jsonArg, withConnection, type Connection, type ConnectionFlags } from '../connection.ts'
 import { createProgress, print, printError, printJson } from '../output.ts'
 
 type Checked = OutputOf<'checkFleet'>
@@ -51,15 +52,39 @@
   for (const change of changes) show(`  ${changeText(change)}`)
 }
 
+/** Checks without a router, for example before a commit; a deadline that is in force already counts as a new one. */
+function checkLocally (file: string, text: string, json: boolean): ExitCode {
+  const parsed = parseFleetText(text, { nowMs: Date.now(), inForce: undefined })
+  const problems = parsed.isErr() ? [...parsed.error] : []
+  if (json) printJson({ problems })
+  else if (problems.length > 0) printProblems(file, problems)
+  else print('The text is valid.')
+  return problems.length > 0 ? exitCodes.failed : exitCodes.done
+}
+
 export const checkCommand = command({
   name: 'check',
   description: 'Check a fleet text and show what it would change, without applying it.',
-  args: { file: fileArg, json: jsonArg, ...connectionArgs },
-  examples: [{ description: 'check before a commit', command: 'buckthorndrift check fleet.yaml' }],
-  handler: ({ file, json, ...connection }) => withConnection(connection, async ({ call }) => {
+  args: {
+    file: fileArg,
+    local: flag({ long: 'local', description: 'check without a router and show no changes' }),
+    json: jsonArg,
+    ...connectionArgs
+  },
+  examples: [
+    { description: 'show what a text would change', command: 'buckthorndrift check fleet.yaml' },
+    { description: 'check before a commit', command: 'buckthorndrift check fleet.yaml --local' }
+  ],
+  handler: ({ file, local, json, ...connection }) => {
     const text = readText(file)
     if (text.isErr()) return text.error
-    const checked = await call('checkFleet', { text: text.value })
+    return local ? checkLocally(file, text.value, json) : checkWithRouter(connection, file, text.value, json)
+  }
+})
+
+function checkWithRouter (flags: ConnectionFlags, file: string, text: string, json: boolean): Promise<ExitCode> {
+  return withConnection(flags, async ({ call }) => {
+    const checked = await call('checkFleet', { text })
     if (checked.isErr()) return checked.error
     const { problems, changes, version } = checked.value
     if (json) printJson(checked.value)
@@ -67,7 +92,7 @@
     else printChanges(changes, version, print)
     return problems.length > 0 ? exitCodes.failed : exitCodes.done
   })
-})
+}
 
 async function confirm (): Promise<Result<boolean, ExitCode>> {
   if (!process.stdin.isTTY) {
--- a/scripts/writeDocs.mjs
+++ b/scripts/writeDocs.mjs
@@ -1,17 +1,14 @@
 // Writes the generated pages below docs/; run after the build.
 import { writeFileSync } from 'node:fs'
 import { createOpenApi } from '@buckthorndrift/admin'
-import * as endpoint from '@buckthorndrift/endpoint'
+import { endpointSettings } from '@buckthorndrift/endpoint'
 import { describeEvents, describeMetrics, describeSettings } from '@buckthorndrift/kernel'
 import { routerSettings } from '@buckthorndrift/router'
 
 const pages = {
   'events.md': describeEvents(),
   'metrics.md': describeMetrics(),
-  'settings.md': describeSettings({
-    'Router process': routerSettings,
-    ...(endpoint.endpointSettings === undefined ? {} : { 'Endpoint process': endpoint.endpointSettings })
-  }),
+  'settings.md': describeSettings({ 'Router process': routerSettings, 'Endpoint process': endpointSettings }),
   'openapi.json': `${JSON.stringify(createOpenApi(), null, 2)}\n`
 }
 
