Drain a router before it closes its caller listener

Ruled out: the kernel's accept queue alone, since Node.js itself closes accepted connections without a request when a listener closes.

GET /health fails from the start of the shutdown, and the listener stays open for drainDelayMs, so that the balancer stops opening connections first.

--- a/packages/bench/src/node/processes/routerProcess.ts
+++ b/packages/bench/src/node/processes/routerProcess.ts
@@ -75,7 +75,7 @@
     plugins: [
       platformFakes(self, endpoints),
       services,
-      controlPlugin(listener),
+      controlPlugin({ fleetSecret, listener: { kind: 'own', host: listener.host, port: listener.port } }),
       callerPlugin({ ...listener, tracing, random: Math.random, onListening: bound => { port = bound } })
     ]
   })
--- a/packages/router/src/node/callers/callerHandler.ts
+++ b/packages/router/src/node/callers/callerHandler.ts
@@ -47,6 +47,13 @@
     metrics.gauge('caller.waitingBytes', [...this.#open].reduce((sum, answer) => sum + answer.waitingBytes, 0))
   }
 
+  /** `GET /health`, for the balancer: 200 when requests can be served, 503 before and during a graceful shutdown. */
+  health (response: ServerResponse): void {
+    const status = this.#deps.isDraining() ? 'draining' : this.#deps.config.fleet() === undefined ? 'starting' : 'ready'
+    response.writeHead(status === 'ready' ? 200 : 503, { 'content-type': 'application/json' })
+    response.end(JSON.stringify({ status }))
+  }
+
   /** `POST /v1/chat/completions` */
   chat (request: IncomingMessage, response: ServerResponse): Promise<void> {
     return this.#handle(request, response, planModelCall)
--- a/packages/router/src/node/callers/callerPlugin.ts
+++ b/packages/router/src/node/callers/callerPlugin.ts
@@ -38,6 +38,7 @@
 
 async function serverFor (handler: CallerHandler, settings: CallerSettings, tls: TlsFiles | undefined): Promise<Server> {
   const app = new H3()
+    .get('/health', nodeHandler(async (_, response) => { handler.health(response) }))
     .post('/v1/chat/completions', nodeHandler((request, response) => handler.chat(request, response)))
     .all('/services/**', nodeHandler((request, response) => handler.service(request, response)))
     .all('/**', nodeHandler((request, response) => handler.unknown(request, response)))
@@ -79,6 +80,8 @@
         },
         async drain () {
           isDraining = true
+          // Until the balancer has seen the health check fail it opens connections, which a closed listener would reset.
+          await new Promise<void>(resolve => { context.timers.after(settings.drainDelayMs, resolve) })
           await finishListening(server, context.timers)
           await forwarding.drain()
         },
--- a/packages/router/src/node/routerProcess.ts
+++ b/packages/router/src/node/routerProcess.ts
@@ -132,6 +132,7 @@
         maxDeadlineMs: settings.deadlineLimitMs,
         streamBufferBytes: settings.streamLimitBytes,
         silenceMs: settings.silenceMs,
+        drainDelayMs: settings.drainDelayMs,
         controlTimeoutMs
       },
       onListening: port => { onListening?.('caller', port) }
--- a/packages/router/src/shared/routerSettings.ts
+++ b/packages/router/src/shared/routerSettings.ts
@@ -41,6 +41,7 @@
   reclaimWaitMs: { kind: 'number', summary: 'longest wait for a running request of a lost router before it counts as wholly spent', unit: 'ms', min: 0, max: 86_400_000, default: 60_000 },
   recordFlushMs: { kind: 'number', summary: 'interval of writes of billing records and refusal accounts', unit: 'ms', min: 10, max: 600_000, default: 2000 },
   recordsLimitBytes: { kind: 'number', summary: 'most bytes of records that wait for the platform; at the limit new requests are refused', unit: 'bytes', min: 65_536, max: 1e10, default: 33_554_432 },
+  drainDelayMs: { kind: 'number', summary: 'time for which a router that shuts down still accepts connections, while its health check fails; longer than the balancer needs to notice', unit: 'ms', min: 0, max: 600_000, default: 5000 },
   drainLimitMs: { kind: 'number', summary: 'longest graceful shutdown', unit: 'ms', min: 0, max: 86_400_000, default: 600_000 },
 
   logLevel: { kind: 'choice', summary: 'lowest level of log events that are written', choices: ['debug', 'info', 'warn', 'error'], default: 'info' },
--- a/playground/src/fleet.ts
+++ b/playground/src/fleet.ts
@@ -70,6 +70,7 @@
     controlPort: 0,
     recordFlushMs: 300,
     budgetFlushMs: 1000,
+    drainDelayMs: 500,
     ...plan.settings
   }
 }
--- a/playground/src/load.ts
+++ b/playground/src/load.ts
@@ -1,5 +1,5 @@
 /** Bounded background load of callers behind a balancer. */
-import { Agent } from 'undici'
+import { Agent, request } from 'undici'
 import { chat, send, type Answer } from './callers.ts'
 
 export interface LoadOptions {
@@ -14,6 +14,9 @@
   stop (): Promise<{ readonly failures: readonly string[], readonly requests: number }>
 }
 
+/** Interval at which the balancer checks the health of its routers. */
+const healthIntervalMs = 100
+
 /** A balancer opens connections by itself; no connection is used twice here, so that none is closed under a request. */
 const dispatcher = new Agent({ pipelining: 0 })
 
@@ -25,8 +28,25 @@
 export function startLoad (options: LoadOptions): Load {
   const failures: string[] = []
   const running = new Set<Promise<void>>()
+  let healthy = options.routers()
   let requests = 0
 
+  async function isHealthy (url: string): Promise<boolean> {
+    try {
+      const { statusCode, body } = await request(`${url}/health`, { dispatcher })
+      await body.dump()
+      return statusCode === 200
+    } catch {
+      return false
+    }
+  }
+
+  async function checkHealth (): Promise<void> {
+    const urls = options.routers()
+    const checks = await Promise.all(urls.map(isHealthy))
+    healthy = urls.filter((_, index) => checks[index])
+  }
+
   function sendOne (number: number, url: string): Promise<Answer> {
     const common = { key: options.key, dispatcher }
     switch (number % 3) {
@@ -37,7 +57,7 @@
   }
 
   async function serve (number: number): Promise<void> {
-    const urls = options.routers()
+    const urls = healthy
     for (let attempt = 0; attempt < urls.length; attempt++) {
       try {
         const answer = await sendOne(number, urls[(number + attempt) % urls.length]!)
@@ -59,9 +79,12 @@
     void one.finally(() => { running.delete(one) })
   }, 1000 / options.requestsPerSecond)
 
+  const healthTimer = setInterval(() => { void checkHealth() }, healthIntervalMs)
+
   return {
     async stop () {
       clearInterval(timer)
+      clearInterval(healthTimer)
       await Promise.all(running)
       return { failures, requests }
     }
