--- a/packages/bench/src/node/benches.ts
+++ b/packages/bench/src/node/benches.ts
@@ -1,5 +1,9 @@
 /** The benches by name. */
+import { benchOverhead } from './overhead/index.ts'
+import { benchRetries } from './retries/index.ts'
 import { runRolloutBench } from './rollout/rolloutBench.ts'
+import { benchRouting } from './routing/index.ts'
+import { benchSlowReaders } from './slowReaders/index.ts'
 
 export interface BenchOptions {
   readonly seed: number
@@ -14,8 +18,24 @@
 const rolloutVersions = 200
 
 export const benches: Readonly<Record<string, Bench>> = {
+  overhead: {
+    summary: 'throughput, added latency and processor time of the path against the engine called directly',
+    run: () => benchOverhead()
+  },
+  retries: {
+    summary: 'attempts per request when half of the endpoints fail, with and without the retry budget',
+    run: ({ seed }) => benchRetries({ seed })
+  },
   rollout: {
     summary: 'seeded versions moved over by the chosen strategy and by a fixed canary',
     run: ({ seed }) => runRolloutBench(seed, rolloutVersions)
+  },
+  routing: {
+    summary: 'time to the first token and refusals by load, for the chosen policy and two simple ones',
+    run: ({ seed }) => benchRouting({ seed })
+  },
+  'slow-readers': {
+    summary: 'memory per slow reader, and the token gap of fast readers with and without 200 slow ones',
+    run: () => benchSlowReaders()
   }
 }
--- a/packages/bench/src/node/bin.ts
+++ b/packages/bench/src/node/bin.ts
@@ -1,8 +1,10 @@
 /** `npm run bench -- NAME` runs one bench; `npm run soak` runs randomised runs. */
 import { binary, command, number, option, optional, positional, run, string, subcommands } from 'cmd-ts'
 import { benches } from './benches.ts'
+import { soakBudgets } from './soak/budgetSoak.ts'
 
 const defaultSeed = 1
+const defaultSoakRuns = 20
 
 const seed = option({ type: number, long: 'seed', defaultValue: () => defaultSeed, description: 'Seed of all random numbers.' })
 
@@ -30,4 +32,18 @@
   }
 })
 
-await run(binary(subcommands({ name: 'bench', cmds: { bench: benchCommand } })), process.argv)
+const soakCommand = command({
+  name: 'soak',
+  description: 'Randomised runs of the budget ledger under faults; prints each failing seed.',
+  args: {
+    seed,
+    runs: option({ type: number, long: 'runs', defaultValue: () => defaultSoakRuns, description: 'Number of seeds, counted up from the first.' })
+  },
+  handler ({ seed, runs }) {
+    const failures = soakBudgets(seed, runs, line => { process.stdout.write(`${line}\n`) })
+    process.stdout.write(`${runs - failures.length} passed, ${failures.length} failed\n`)
+    if (failures.length > 0) process.exitCode = 1
+  }
+})
+
+await run(binary(subcommands({ name: 'bench', cmds: { bench: benchCommand, soak: soakCommand } })), process.argv)
