Reserve at home routers and reclaim slices of dead ones

Cause: with every router drawing for itself each budget is split into as many slices as there are routers, and slices of dead routers stay counted as spent.

Change: reservations go to the collector of the shard (rendezvous hashing over all reachable routers), for busy budgets to the home in the failure domain first; batches over tRPC, settlements kept until their holder took them, recall between homes, fence and reclaim through the endpoints' slices.fence and slices.forget, handovers of endpoints that left, return of slices on drain.

Ruled out: forwarding from a domain's home to the collector. Routers with different views could pass a reservation round in a circle, because the message has no hop count; the router that wants the reservation tries both instead.

--- a/packages/bench/src/node/soak/modelStore.ts
+++ b/packages/bench/src/node/soak/modelStore.ts
@@ -36,6 +36,6 @@
   readRegistry (): ReclaimRegistry | undefined {
     if (this.isDown) return undefined
     const endpoints = [...this.registry.values()]
-    return { endpoints, liveVms: new Set(endpoints.map(endpoint => endpoint.vm)), hasLostEndpoint: this.hasLostEndpoint }
+    return { endpoints, liveVms: new Set(endpoints.map(endpoint => endpoint.vm)), handovers: [], hasLostEndpoint: this.hasLostEndpoint }
   }
 }
--- a/packages/platform/src/shared/budgets/index.ts
+++ b/packages/platform/src/shared/budgets/index.ts
@@ -1,7 +1,7 @@
 /** Budget ledger in the platform: object layout, codec and operators' changes. */
 export {
-  budgetLayoutObject, budgetLayoutSchema, budgetShardObject, defaultBudgetShards, fencesObject, fencesSchema,
-  storedShardSchema, type BudgetLayout, type Fences, type StoredShard
+  budgetLayoutObject, budgetLayoutSchema, budgetShardObject, defaultBudgetShards,
+  storedShardSchema, type BudgetLayout, type StoredShard
 } from './layout.ts'
 export { decodeShard, encodeShard } from './codec.ts'
 export {
--- a/packages/platform/src/shared/budgets/layout.ts
+++ b/packages/platform/src/shared/budgets/layout.ts
@@ -4,9 +4,6 @@
 /** Object with the number of shards; fixed once it exists. */
 export const budgetLayoutObject = 'budgets/layout'
 
-/** Object with the holders whose slices are reclaimed; also a document. */
-export const fencesObject = 'fences'
-
 export const defaultBudgetShards = 16
 
 /** Object of a shard, `budgets/0007`. */
@@ -17,10 +14,6 @@
 export const budgetLayoutSchema = z.object({ shards: z.number().int().min(1).max(9999) }).readonly()
 export type BudgetLayout = z.infer<typeof budgetLayoutSchema>
 
-/** Value of `fences`. Endpoint processes run nothing more under these holders. */
-export const fencesSchema = z.object({ holders: z.array(z.string()).readonly() }).readonly()
-export type Fences = z.infer<typeof fencesSchema>
-
 const count = z.number().int().nonnegative()
 
 /**
--- a/packages/policy/src/shared/budget/fenceAnswers.ts
+++ b/packages/policy/src/shared/budget/fenceAnswers.ts
@@ -16,6 +16,21 @@
   readonly tokens: number
 }
 
+/** Entries of the holder that an endpoint wrote when it left; it runs nothing any more. */
+export interface ReclaimHandover {
+  readonly endpointId: string
+  readonly incarnation: string
+  readonly entries: readonly FenceEntry[]
+}
+
+export interface ReclaimRegistry {
+  readonly endpoints: readonly ReclaimEndpoint[]
+  readonly liveVms: ReadonlySet<string>
+  readonly handovers: readonly ReclaimHandover[]
+  /** Whether an endpoint process vanished that may have run requests under the holder and handed nothing over. */
+  readonly hasLostEndpoint: boolean
+}
+
 interface Asked {
   readonly endpoint: ReclaimEndpoint
   entries: readonly FenceEntry[] | undefined
@@ -23,6 +38,7 @@
 
 export class FenceAnswers {
   readonly #asked = new Map<string, Asked>()
+  #handedOver: readonly FenceEntry[] = []
   #isUnknowable = false
 
   /** True when an endpoint is lost with what it knew; the slices then count as wholly spent. */
@@ -65,11 +81,20 @@
     this.#isUnknowable = true
   }
 
+  /** Takes the entries that endpoints wrote to the platform when they left. */
+  noteHandovers (handovers: readonly ReclaimHandover[]): void {
+    this.#handedOver = handovers.flatMap(handover => handover.entries)
+  }
+
   /** Takes a later registry: an endpoint without an answer whose process and VM are gone will never give one. */
-  noteRegistry (endpoints: readonly ReclaimEndpoint[], liveVms: ReadonlySet<string>): void {
+  noteRegistry ({ endpoints, liveVms, handovers }: ReclaimRegistry): void {
     const present = new Map(endpoints.map(endpoint => [endpoint.id, endpoint]))
     for (const asked of this.#asked.values()) {
       if (asked.entries !== undefined) continue
+      if (handovers.some(({ endpointId, incarnation }) => endpointId === asked.endpoint.id && incarnation === asked.endpoint.incarnation)) {
+        asked.entries = []
+        continue
+      }
       const registered = present.get(asked.endpoint.id)
       const isReplaced = registered !== undefined && registered.incarnation !== asked.endpoint.incarnation
       const isGone = registered === undefined && !liveVms.has(asked.endpoint.vm)
@@ -91,11 +116,10 @@
   spentOf (shard: number, budget: string, slice: Slice, settledSeq: number): number {
     if (this.#isUnknowable) return slice.capTokens
     const tokensBySeq = new Map<number, number>()
-    for (const asked of this.#asked.values()) {
-      for (const entry of asked.entries ?? []) {
-        if (entry.shard !== shard || entry.budget !== budget || entry.seq <= settledSeq) continue
-        tokensBySeq.set(entry.seq, Math.max(tokensBySeq.get(entry.seq) ?? 0, entry.tokens))
-      }
+    const answered = [...this.#asked.values()].flatMap(asked => asked.entries ?? [])
+    for (const entry of [...answered, ...this.#handedOver]) {
+      if (entry.shard !== shard || entry.budget !== budget || entry.seq <= settledSeq) continue
+      tokensBySeq.set(entry.seq, Math.max(tokensBySeq.get(entry.seq) ?? 0, entry.tokens))
     }
     return [...tokensBySeq.values()].reduce((sum, tokens) => sum + tokens, slice.settledTokens)
   }
--- a/packages/policy/src/shared/budget/holderReclaim.ts
+++ b/packages/policy/src/shared/budget/holderReclaim.ts
@@ -6,7 +6,7 @@
  */
 import { assertShardWrite, BudgetInvariantError } from './invariants.ts'
 import { closeSlices, holdersOf, type BudgetShard } from './shard.ts'
-import { FenceAnswers, type FenceEntry, type ReclaimEndpoint } from './fenceAnswers.ts'
+import { FenceAnswers, type FenceEntry, type ReclaimEndpoint, type ReclaimRegistry } from './fenceAnswers.ts'
 import type { ReadOutcome, WriteOutcome } from './effects.ts'
 
 export interface ReclaimLimits {
@@ -46,13 +46,6 @@
   readonly firstShards?: readonly number[]
 }
 
-export interface ReclaimRegistry {
-  readonly endpoints: readonly ReclaimEndpoint[]
-  readonly liveVms: ReadonlySet<string>
-  /** Whether an endpoint process vanished that may have run requests under the holder and handed nothing over. */
-  readonly hasLostEndpoint: boolean
-}
-
 export class HolderReclaim {
   readonly holder: string
   readonly #limits: ReclaimLimits
@@ -91,8 +84,9 @@
   /** `registry` is undefined when it could not be read. */
   registryDone (registry: ReclaimRegistry | undefined, nowMs: number): readonly ReclaimEffect[] {
     if (registry === undefined) return this.#retryLater(nowMs)
+    this.#answers.noteHandovers(registry.handovers)
     if (this.#stage === 'answers') {
-      this.#answers.noteRegistry(registry.endpoints, registry.liveVms)
+      this.#answers.noteRegistry(registry)
       return this.#closeIfReady(nowMs)
     }
     if (this.#stage !== 'registry') return []
--- a/packages/policy/src/shared/budget/index.ts
+++ b/packages/policy/src/shared/budget/index.ts
@@ -9,8 +9,8 @@
 export { sliceTarget, SpendRate, type SliceNeeds } from './sizing.ts'
 export { ShardHolder, type HolderOptions } from './shardHolder.ts'
 export type { HolderEffect, ReadOutcome, ReserveAnswer, WriteOutcome } from './effects.ts'
-export { FenceAnswers, type FenceEntry, type ReclaimEndpoint } from './fenceAnswers.ts'
-export { defaultReclaimLimits, HolderReclaim, type ReclaimEffect, type ReclaimLimits, type ReclaimOptions, type ReclaimRegistry } from './holderReclaim.ts'
+export { FenceAnswers, type FenceEntry, type ReclaimEndpoint, type ReclaimHandover, type ReclaimRegistry } from './fenceAnswers.ts'
+export { defaultReclaimLimits, HolderReclaim, type ReclaimEffect, type ReclaimLimits, type ReclaimOptions } from './holderReclaim.ts'
 export {
   holderName, homesOf, isHolderOf, routesFor, spreadRequestsPerSecond, type Homes, type PlacementRouter, type RouteInput
 } from './placement.ts'
--- /dev/null
+++ b/packages/router/src/node/budget/__tests__/fleet.test.ts
@@ -0,0 +1,194 @@
+import { createServer, type Server } from 'node:http'
+import { type AddressInfo } from 'node:net'
+import { H3, toNodeHandler } from 'h3'
+import { afterEach, describe, expect, it } from 'vitest'
+import { definePlugin, silentLog, silentMetrics, startKernel, SystemTimers, type Kernel } from '@buckthorndrift/kernel'
+import {
+  createBudgetOn, documentsKey, membershipKey, MemoryObjects, MemoryObjectStore, memberListName, objectStoreKey, readBudget,
+  type Documents, type Membership
+} from '@buckthorndrift/platform'
+import { homesOf, shardOf, type FenceEntry } from '@buckthorndrift/policy'
+import { createControlHandler, createEndpointControl, createRouterControl, type BudgetHandlers, type Member, type Reservation } from '@buckthorndrift/protocol'
+import { budgetServiceKey, controlRegistryKey, createBudgetPlugin, type BudgetService } from '../../../index.ts'
+
+const fleet = { fleetSecret: 'secret', controlTimeoutMs: 500 }
+const never = async (): Promise<never> => { throw new Error('not used') }
+
+interface RunningRouter {
+  readonly member: Member
+  readonly budgets: BudgetService
+  readonly kernel: Kernel
+  readonly server: Server
+}
+
+const objects = () => ({ all: new MemoryObjects(), timers: new SystemTimers() })
+
+class TestFleet {
+  readonly objects = objects().all
+  readonly timers = new SystemTimers()
+  readonly store = new MemoryObjectStore({ timers: this.timers, objects: this.objects })
+  readonly routers: RunningRouter[] = []
+  readonly servers: Server[] = []
+  readonly suspected = new Set<string>()
+  readonly listeners = new Set<() => void>()
+  readonly fenced: string[] = []
+  readonly forgotten: string[] = []
+  entries: FenceEntry[] = []
+  members: Member[] = []
+
+  async listen (handle: (request: Request) => Promise<Response>): Promise<readonly [Server, string]> {
+    const server = createServer(toNodeHandler(new H3().all('/trpc/**', event => handle(event.req))))
+    await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+    this.servers.push(server)
+    return [server, `http://127.0.0.1:${(server.address() as AddressInfo).port}`]
+  }
+
+  async startEndpoint (): Promise<void> {
+    const control = createEndpointControl({
+      slices: {
+        fence: async ({ holder }) => {
+          this.fenced.push(holder)
+          return { endpointId: 'e1', incarnation: 'a', entries: this.entries }
+        },
+        forget: async ({ holder }) => { this.forgotten.push(holder) }
+      },
+      records: { acknowledge: never },
+      claims: { claim: never, replicate: never, takeOver: never },
+      lifecycle: { drain: never, order: never }
+    })
+    const [, controlUrl] = await this.listen(createControlHandler(control, fleet.fleetSecret))
+    await this.register({ id: 'e1', incarnation: 'a', role: 'endpoint', vm: 'e1', failureDomain: 'd1', controlUrl, leaving: false })
+  }
+
+  async startRouter (id: string, failureDomain: string): Promise<void> {
+    let budget: BudgetHandlers | undefined
+    const handlers: BudgetHandlers = {
+      reserve: input => budget?.reserve(input) ?? never(),
+      settle: input => budget?.settle(input) ?? never(),
+      recall: input => budget?.recall(input) ?? never(),
+      settledSeq: input => budget?.settledSeq(input) ?? never()
+    }
+    const control = createRouterControl({
+      budget: handlers,
+      documents: { exchange: never },
+      records: { replicateAccounts: never, handOver: never },
+      evidence: { reportCrash: never, reportOutcomes: never }
+    })
+    const [server, controlUrl] = await this.listen(createControlHandler(control, fleet.fleetSecret))
+    const member: Member = { id, incarnation: 'a', role: 'router', vm: id, failureDomain, controlUrl, leaving: false }
+    await this.register(member)
+    const base = definePlugin({
+      name: 'base',
+      setup: context => {
+        context.provide(objectStoreKey, new MemoryObjectStore({ timers: this.timers, objects: this.objects }))
+        context.provide(membershipKey, this.#membershipOf(member))
+        context.provide(documentsKey, { get: () => undefined, subscribe: () => () => {}, learn () {}, refresh: never } as Documents)
+        context.provide(controlRegistryKey, { register (_part, given) { budget = given as unknown as BudgetHandlers } })
+        return {}
+      }
+    })
+    const kernel = await startKernel({
+      timers: this.timers, log: silentLog, metrics: silentMetrics, plugins: [base, createBudgetPlugin({ fleet, limits: { flushMs: 100 }, reclaimLimits: { reclaimAskMs: 50 } })]
+    })
+    this.routers.push({ member, budgets: kernel.use(budgetServiceKey), kernel, server })
+  }
+
+  /** Kills a router: its listener closes and the registry loses it, but nothing is drained. */
+  async kill (id: string): Promise<void> {
+    const router = this.routers.find(({ member }) => member.id === id)
+    router?.server.closeAllConnections()
+    router?.server.close()
+    this.routers.splice(this.routers.findIndex(({ member }) => member.id === id), 1)
+    this.members = this.members.filter(member => member.id !== id)
+    await this.#writeMembers()
+  }
+
+  async register (member: Member): Promise<void> {
+    this.members.push(member)
+    this.objects.vms = this.members.map(({ vm }) => ({ vm, state: 'live' }))
+    await this.#writeMembers()
+  }
+
+  async #writeMembers (): Promise<void> {
+    const name = memberListName('all')
+    const present = (await this.store.read(name)).unwrap()
+    await this.store.write(name, { members: this.members }, present?.version ?? 0)
+    for (const listener of this.listeners) listener()
+  }
+
+  #membershipOf (self: Member): Membership {
+    const routers = (filter?: { readonly failureDomain?: string, readonly isReachable?: boolean }) => this.members.filter(member => member.role === 'router' &&
+      (filter?.failureDomain === undefined || member.failureDomain === filter.failureDomain) &&
+      (filter?.isReachable !== true || !this.suspected.has(member.id)))
+    return {
+      self,
+      routers,
+      endpoints: () => this.members.filter(member => member.role === 'endpoint'),
+      noteUnreachable: id => { this.suspected.add(id) },
+      noteAlive: id => { this.suspected.delete(id) },
+      isSuspected: id => this.suspected.has(id),
+      subscribe: listener => {
+        this.listeners.add(listener)
+        return () => { this.listeners.delete(listener) }
+      }
+    }
+  }
+
+  /** Home of all reservations of a budget with few requests. */
+  collectorOf (budget: string): string {
+    const routers = this.routers.map(({ member }) => member)
+    return homesOf(shardOf(budget, 16), 'd1', routers).collector ?? ''
+  }
+
+  otherThan (id: string): RunningRouter {
+    return this.routers.find(({ member }) => member.id !== id) as RunningRouter
+  }
+}
+
+describe('budgets of several routers', () => {
+  let testFleet: TestFleet
+
+  afterEach(() => { for (const server of testFleet.servers) { server.closeAllConnections(); server.close() } })
+
+  async function start (): Promise<TestFleet> {
+    testFleet = new TestFleet()
+    for (const [id, domain] of [['r1', 'd1'], ['r2', 'd2'], ['r3', 'd2']] as const) await testFleet.startRouter(id, domain)
+    await testFleet.startEndpoint()
+    await createBudgetOn(testFleet.store, { budget: 'b1', organisation: 'o1', grantedTokens: 1000, operationId: 'op1' })
+    return testFleet
+  }
+
+  it('reserves at one home for all routers, so that tokens are not stranded in several slices', async () => {
+    const { routers, store, collectorOf } = await start()
+    const home = collectorOf.call(testFleet, 'b1')
+    const answers = await Promise.all(routers.flatMap(({ budgets }) => [1, 2, 3].map(() => budgets.reserve('b1', 100, 2000))))
+    expect(answers.map(answer => answer.unwrap().reservation.holder)).toEqual(Array(9).fill(`${home}.a`))
+    expect((await readBudget(store, 'b1')).unwrap()?.heldTokens).toBeLessThanOrEqual(1000)
+    expect((await testFleet.otherThan(home).budgets.reserve('b1', 200, 2000)).unwrapErr().reason).toBe('budgetExhausted')
+  })
+
+  it('settles with the holder, which then has the remainder again', async () => {
+    const { store } = await start()
+    const { budgets } = testFleet.otherThan(testFleet.collectorOf('b1'))
+    const { reservation } = (await budgets.reserve('b1', 900, 2000)).unwrap()
+    budgets.settle('b1', reservation, 50)
+    await expect.poll(async () => (await readBudget(store, 'b1')).unwrap()?.spentTokens, { timeout: 5000 }).toBe(50)
+    expect((await budgets.reserve('b1', 900, 2000)).isOk()).toBe(true)
+  })
+
+  it('goes on at another home when the home is dead, and reclaims exactly what endpoints ran', async () => {
+    const { store, fenced, forgotten } = await start()
+    const home = testFleet.collectorOf('b1')
+    const { budgets } = testFleet.otherThan(home)
+    const held = [(await budgets.reserve('b1', 300, 2000)).unwrap(), (await budgets.reserve('b1', 200, 2000)).unwrap()]
+    const [first] = held.map(({ reservation }): Reservation => reservation)
+    testFleet.entries = [{ shard: first?.shard ?? 0, budget: 'b1', seq: first?.seq ?? 0, state: 'settled', tokens: 120 }]
+    await testFleet.kill(home)
+    // The registry changes after the death, so the first attempt still goes to the dead home.
+    await expect.poll(async () => (await budgets.reserve('b1', 1, 2000)).isOk(), { timeout: 20_000 }).toBe(true)
+    await expect.poll(async () => (await readBudget(store, 'b1')).unwrap()?.spentTokens, { timeout: 20_000 }).toBe(120)
+    expect(new Set(fenced)).toEqual(new Set([`${home}.a`]))
+    await expect.poll(() => forgotten, { timeout: 5000 }).toContain(`${home}.a`)
+    expect((await budgets.reserve('b1', 800, 2000)).isOk()).toBe(true)
+  })
+})
--- a/packages/router/src/node/budget/holderRunner.ts
+++ b/packages/router/src/node/budget/holderRunner.ts
@@ -1,7 +1,8 @@
 /** Runs one shard holder: carries its effects out on the object store and on peers. */
 import type { Log, TimerService } from '@buckthorndrift/kernel'
-import { ShardHolder, type BudgetLimits, type HolderEffect, type ReadOutcome, type ReserveAnswer, type WriteOutcome } from '@buckthorndrift/policy'
-import { budgetShardObject, decodeShard, encodeShard, type ObjectStore } from '@buckthorndrift/platform'
+import { ShardHolder, type BudgetLimits, type HolderEffect, type ReserveAnswer } from '@buckthorndrift/policy'
+import type { ObjectStore } from '@buckthorndrift/platform'
+import { readShard, writeShard } from './shardCalls.ts'
 
 export interface HolderRunnerOptions {
   readonly holder: string
@@ -86,13 +87,13 @@
   }
 
   #carryOutOne (effect: HolderEffect): void {
-    const { log, shard } = this.#options
+    const { log, shard, store } = this.#options
     switch (effect.kind) {
       case 'read':
-        this.#read().then(outcome => { this.#carryOut(this.#holder.readDone(outcome, this.#nowMs())) })
+        readShard(store, log, shard).then(outcome => { this.#carryOut(this.#holder.readDone(outcome, this.#nowMs())) })
         return
       case 'write':
-        this.#write(effect).then(outcome => { this.#carryOut(this.#holder.writeDone(outcome, this.#nowMs())) })
+        writeShard(store, log, shard, effect.value, effect.expectedVersion).then(outcome => { this.#carryOut(this.#holder.writeDone(outcome, this.#nowMs())) })
         return
       case 'recall':
         this.#options.recall(shard, effect.holders, effect.budgets)
@@ -119,26 +120,4 @@
         this.#options.onHoldersSeen(effect.holders)
     }
   }
-
-  async #read (): Promise<ReadOutcome> {
-    const { store, shard, log } = this.#options
-    const present = await store.read(budgetShardObject(shard))
-    if (present.isErr()) return { kind: 'failed' }
-    const decoded = decodeShard(present.value?.value)
-    if (decoded.isErr()) {
-      log.event('budgetShardMalformed', { shard, detail: decoded.error })
-      return { kind: 'failed' }
-    }
-    return { kind: 'read', version: present.value?.version ?? 0, shard: decoded.value }
-  }
-
-  async #write (effect: Extract<HolderEffect, { kind: 'write' }>): Promise<WriteOutcome> {
-    const { store, shard, log } = this.#options
-    const written = await store.write(budgetShardObject(shard), encodeShard(effect.value), effect.expectedVersion)
-    if (written.isOk()) return { kind: 'written', version: written.value }
-    const failure = written.error
-    if (failure.kind === 'conflict') return { kind: 'conflict' }
-    log.event('budgetWriteFailed', { shard, detail: failure.detail, mayHaveApplied: failure.kind === 'unavailable' && failure.mayHaveApplied })
-    return { kind: failure.kind === 'unavailable' && failure.mayHaveApplied ? 'unknown' : 'refused' }
-  }
 }
--- a/packages/router/src/node/budget/plugin.ts
+++ b/packages/router/src/node/budget/plugin.ts
@@ -1,36 +1,106 @@
 /** Plugin of a router: reservations of tokens for the caller path, and the `budget` control handlers. */
-import { definePlugin, type Plugin } from '@buckthorndrift/kernel'
-import { defaultBudgetLimits, type BudgetLimits } from '@buckthorndrift/policy'
-import { membershipKey, objectStoreKey } from '@buckthorndrift/platform'
+import { definePlugin, type Plugin, type PluginContext } from '@buckthorndrift/kernel'
+import { defaultBudgetLimits, defaultReclaimLimits, type BudgetLimits, type ReclaimLimits } from '@buckthorndrift/policy'
+import { documentsKey, membershipKey, objectStoreKey } from '@buckthorndrift/platform'
 import { budgetServiceKey, controlRegistryKey } from '../../shared/services.ts'
 import { BudgetHome } from './budgetHome.ts'
+import { BudgetRoutes } from './budgetRoutes.ts'
+import { EndpointLosses } from './endpointLosses.ts'
+import { LostHolders } from './lostHolders.ts'
+import { PeerCalls } from './peerCalls.ts'
+import { ReclaimRunner } from './reclaimRunner.ts'
+import { Settlements } from './settlements.ts'
 
 export interface BudgetPluginOptions {
   /** Overrides of the defaults. */
   readonly limits?: Partial<BudgetLimits>
+  readonly reclaimLimits?: Partial<ReclaimLimits>
+  /** Number of shards when the layout does not exist yet, 16 when absent. */
+  readonly shards?: number
+  /** How this router reaches other processes. Without it, it draws for itself alone and reclaims nothing. */
+  readonly fleet?: { readonly fleetSecret: string, readonly controlTimeoutMs: number }
+  /** Numbers from 0 below 1, `Math.random` when absent. */
+  readonly random?: () => number
 }
 
-/** How often the holders look at their clocks. */
+type Fleet = NonNullable<BudgetPluginOptions['fleet']>
+
+/** How often holders look at their clocks and settlements are sent. */
 const tickMs = 100
 
-/** Creates the plugin. Needs the object store, membership and the control registry. */
+/** How often lost holders are looked for. */
+const lostTickMs = 1000
+
+interface Parts {
+  readonly context: PluginContext
+  readonly options: BudgetPluginOptions
+  readonly home: BudgetHome
+  readonly routes: BudgetRoutes
+}
+
+/** Starts the search for lost holders and the reclaims; returns what stops it. */
+function startReclaims ({ context, options, home, routes }: Parts, fleet: Fleet): () => void {
+  const membership = context.use(membershipKey)
+  const losses = new EndpointLosses()
+  const reclaims = new Map<string, ReclaimRunner>()
+  const start = async (holder: string, firstShards: readonly number[]) => {
+    const shards = await routes.shardCount()
+    if (shards === undefined || reclaims.has(holder)) return
+    reclaims.set(holder, new ReclaimRunner({
+      holder,
+      shards,
+      firstShards,
+      limits: { ...defaultReclaimLimits, ...options.reclaimLimits },
+      store: context.use(objectStoreKey),
+      documents: context.use(documentsKey),
+      timers: context.timers,
+      log: context.log,
+      fleetSecret: fleet.fleetSecret,
+      timeoutMs: fleet.controlTimeoutMs,
+      random: options.random ?? Math.random,
+      hasLostEndpoint: (registered, liveVms, handovers) => losses.hasLoss(registered, liveVms, handovers),
+      onDone: () => { reclaims.delete(holder) }
+    }))
+  }
+  const lostHolders = new LostHolders({ membership, ownHolder: () => home.holder, reclaim: (holder, shards) => { start(holder, shards).catch(() => {}) } })
+  home.watchHolders(lostHolders)
+  return context.timers.every(lostTickMs, () => {
+    losses.look(membership, context.timers.monotonicMs())
+    lostHolders.tick(context.timers.monotonicMs())
+    for (const reclaim of reclaims.values()) reclaim.tick()
+  })
+}
+
+/** Creates the plugin. Needs the object store, membership, the control registry and, for a fleet, documents. */
 export function createBudgetPlugin (options: BudgetPluginOptions = {}): Plugin {
   return definePlugin({
     name: 'budget',
     setup (context) {
-      const home = new BudgetHome({
-        store: context.use(objectStoreKey),
-        membership: context.use(membershipKey),
-        timers: context.timers,
-        log: context.log,
-        limits: { ...defaultBudgetLimits, ...options.limits }
-      })
+      const { timers, log } = context
+      const store = context.use(objectStoreKey)
+      const membership = context.use(membershipKey)
+      const limits = { ...defaultBudgetLimits, ...options.limits }
+      const peers = options.fleet === undefined ? undefined : new PeerCalls({ ...options.fleet, timeoutMs: options.fleet.controlTimeoutMs })
+      const documents = options.fleet === undefined ? undefined : context.use(documentsKey)
+      const home = new BudgetHome({ store, membership, documents, timers, log, limits, peers })
+      const settlements = new Settlements({ membership, send: async (peer, items) => { await peers?.settle(peer, items) } })
+      const routes = new BudgetRoutes({ store, membership, timers, limits, home, settlements, peers, shards: options.shards })
       context.use(controlRegistryKey).register('budget', home)
-      context.provide(budgetServiceKey, home.service)
-      const stopTicks = context.timers.every(tickMs, () => { home.tick() })
+      context.provide(budgetServiceKey, routes)
+      const stops = [
+        membership.subscribe(() => { home.updateCollectors() }),
+        timers.every(tickMs, () => {
+          home.tick()
+          settlements.flush()
+        }),
+        ...(options.fleet === undefined ? [] : [startReclaims({ context, options, home, routes }, options.fleet)])
+      ]
       return {
-        drain: () => home.drain(),
-        close () { stopTicks() }
+        async drain () {
+          settlements.flush()
+          await home.drain()
+        },
+        close () { for (const stop of stops) stop() }
       }
     }
   })
