Add idempotency claims with owner, witness and epoch

Cause: a repeated key must find the first request, wherever it runs, and a non-idempotent request must run at most once.

Change: claim shards, the changes of owner and witness, and the pure search for a key's owner in the policy package; stored layout in the platform package; the endpoint process serves claims, replicates, takes over, and hands its shards to their witnesses when it leaves. An attach names the incarnation that the request was sent to, because a later life at the same address cannot say 'not run' of an id that it has not seen.

Ruled out: 'not run' by the witness's own knowledge alone; without the platform it cannot tell whether the epoch was raised unseen.

--- a/packages/endpoint/src/node/__tests__/fixtures.ts
+++ b/packages/endpoint/src/node/__tests__/fixtures.ts
@@ -180,8 +180,8 @@
   })
 }
 
-export async function attach (endpoint: Endpoint, requestId: string, offset = 0): Promise<Received> {
-  return await receive(`${endpoint.self.controlUrl}/attach/${requestId}?offset=${offset}`, { headers: authorization })
+export async function attach (endpoint: Endpoint, requestId: string, offset = 0, incarnation = endpoint.self.incarnation): Promise<Received> {
+  return await receive(`${endpoint.self.controlUrl}/attach/${requestId}?offset=${offset}&incarnation=${incarnation}`, { headers: authorization })
 }
 
 export function controlOf (endpoint: Endpoint) {
--- a/packages/endpoint/src/node/__tests__/forward.test.ts
+++ b/packages/endpoint/src/node/__tests__/forward.test.ts
@@ -73,6 +73,10 @@
     expect(ran).toEqual([])
   })
 
+  it('says mayHaveRun of an unknown id that was sent to an earlier life at the same address', async () => {
+    expect(await attach(endpoint, callOf().requestId, 0, 'earlier')).toMatchObject({ status: 502, headers: { 'bd-verdict': 'mayHaveRun' } })
+  })
+
   it('never runs a request whose body did not arrive completely', async () => {
     const abort = new AbortController()
     const call = callOf()
--- a/packages/endpoint/src/node/callHandlers.ts
+++ b/packages/endpoint/src/node/callHandlers.ts
@@ -14,6 +14,7 @@
 export interface CallHandlerOptions {
   readonly gate: Gate
   readonly settings: EndpointSettings
+  readonly incarnation: string
   readonly timers: TimerService
 }
 
@@ -92,7 +93,13 @@
   return Number.isSafeInteger(offset) && offset >= 0 ? offset : undefined
 }
 
-/** Handles `GET /attach/<requestId>?offset=<bytes>`, and `DELETE /attach/<requestId>` when the caller is gone for good. */
+/**
+ * Handles `GET /attach/<requestId>?offset=<bytes>&incarnation=<incarnation>`,
+ * and `DELETE /attach/<requestId>` when the caller is gone for good. The
+ * incarnation is that of the process which the request was sent to: only this
+ * one can say "not run" of an id that it has not seen, because an earlier life
+ * at the same address may have run it.
+ */
 export function createAttachHandler (options: CallHandlerOptions): NodeHandler {
   const { gate } = options
   return (request, response) => {
@@ -101,7 +108,11 @@
     const offset = offsetOf(url)
     if (offset === undefined) { sendProblem(response, requestId, malformedCall, gate.load()); return }
     switch (request.method) {
-      case 'GET': stream(options, requestId, gate.attach(requestId), offset, response); return
+      case 'GET': {
+        const isSameLife = url.searchParams.get('incarnation') === options.incarnation
+        stream(options, requestId, gate.attach(requestId, isSameLife), offset, response)
+        return
+      }
       case 'DELETE': gate.abandon(requestId); response.writeHead(204, { [requestIdHeader]: requestId }).end(); return
       default: response.writeHead(405).end()
     }
--- a/packages/endpoint/src/node/endpointPlugins.ts
+++ b/packages/endpoint/src/node/endpointPlugins.ts
@@ -8,6 +8,7 @@
 import { controlPartsKey, type ControlParts } from '../shared/services.ts'
 import { createAttachHandler, createCallHandler } from './callHandlers.ts'
 import { Gate } from './gate.ts'
+import { createClaimsPlugin } from './claimsPlugin.ts'
 import { createLifecyclePlugin } from './lifecyclePlugin.ts'
 import { openListener, type Listener } from './listener.ts'
 import { createPeersPlugin } from './peersPlugin.ts'
@@ -41,16 +42,18 @@
   })
 }
 
-function createDataPlugin ({ settings, listener, gate }: EndpointPluginOptions): Plugin {
+function createDataPlugin ({ settings, incarnation, listener, gate }: EndpointPluginOptions): Plugin {
   return definePlugin({
     name: 'data',
     setup (context) {
-      const options = { gate, settings, timers: context.timers }
+      const options = { gate, settings, incarnation, timers: context.timers }
       const control = context.use(controlPartsKey)
       return {
         ready () {
           listener.serve({ call: createCallHandler(options), attach: createAttachHandler(options), control: createEndpointControl(control.all()) })
         },
+        // Drains run in reverse order: new calls are refused before anything else is handed over.
+        drain () { gate.leave().catch(() => {}) },
         close: () => listener.close()
       }
     }
@@ -70,6 +73,7 @@
     createSlicesPlugin(settings, incarnation, gate),
     createRecordsPlugin(settings, incarnation, gate),
     createLifecyclePlugin(settings, gate, options.stop),
+    createClaimsPlugin(settings),
     createDataPlugin(options)
   ]
 }
--- a/packages/endpoint/src/node/gate.ts
+++ b/packages/endpoint/src/node/gate.ts
@@ -6,7 +6,7 @@
 import type { EndpointSettings } from '../shared/endpointSettings.ts'
 import {
   alreadySettled, backEndDown, bytesFull, callerLeft, cancelled, deadlinePassed, failureOfOffer, fellOverBefore, fenced, leaving,
-  malformedId, notOpen, recordsFull, refusal, seqReused, staleRequest, unknownRequest
+  malformedId, notOpen, otherLife, recordsFull, refusal, seqReused, staleRequest, unknownRequest
 } from '../shared/failures.ts'
 import { RecordKeeper, recordOf } from '../shared/recordKeeper.ts'
 import { RequestTable } from '../shared/requestTable.ts'
@@ -132,14 +132,17 @@
     return answer
   }
 
-  /** The answer of a request id. An unknown id is refused for good. */
-  attach (requestId: string): Answer | Failure {
+  /** The answer of a request id. An unknown id is refused for good; `isSameLife` tells whether it was sent to this life of the process. */
+  attach (requestId: string, isSameLife: boolean): Answer | Failure {
     const known = this.#table.look(requestId)
     switch (known.kind) {
       case 'known': return known.answer
       case 'stale': return staleRequest
       case 'malformed': return malformedId
-      case 'new': return this.#table.refuse(requestId, unknownRequest)
+      case 'new': {
+        const refused = this.#table.refuse(requestId, unknownRequest)
+        return isSameLife ? refused : otherLife
+      }
     }
   }
 
--- a/packages/endpoint/src/shared/failures.ts
+++ b/packages/endpoint/src/shared/failures.ts
@@ -30,6 +30,11 @@
 /** Answer to an attach for an id that this process has not seen. */
 export const unknownRequest = refusal('endpointLost', 'This endpoint has not seen the request and will not run it.')
 
+/** The same for an id that may have been sent to an earlier life of the process. */
+export const otherLife: Failure = {
+  verdict: mayHaveRun, reason: 'endpointLost', detail: 'An earlier life of this endpoint may have run the request.'
+}
+
 export const staleRequest: Failure = {
   verdict: mayHaveRun, reason: 'answerExpired', detail: 'The request id is too old to tell whether it ran.'
 }
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -17,3 +17,4 @@
 export { membershipKey, type Membership } from './shared/membership.ts'
 export * from './shared/budgets/index.ts'
 export * from './shared/records/index.ts'
+export * from './shared/claims/index.ts'
--- /dev/null
+++ b/packages/platform/src/shared/claims/index.ts
@@ -0,0 +1,1 @@
+export { claimLayoutOf, claimsName, claimsPrefix, claimsSchema } from './claimsObject.ts'
