--- a/packages/router/src/node/control/controlPlugin.ts
+++ b/packages/router/src/node/control/controlPlugin.ts
@@ -1,22 +1,33 @@
 /** Control listener of a router: tRPC for processes with the fleet secret. */
-import { createServer } from 'node:http'
+import type { RequestListener } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import { H3, toNodeHandler } from 'h3'
+import type { TlsFiles } from '@buckthorndrift/admin'
 import { definePlugin, type Plugin } from '@buckthorndrift/kernel'
 import { controlPath, createControlHandler, createRouterControl } from '@buckthorndrift/protocol'
 import { controlRegistryKey } from '../../shared/services.ts'
-import { listen, stopListening } from '../listening.ts'
+import { createListener, listen, stopListening } from '../listening.ts'
 import { HandlerRegistry } from './handlerRegistry.ts'
 
 export interface ControlPluginOptions {
-  readonly host: string
-  /** 0 takes a free port. */
-  readonly port: number
   readonly fleetSecret: string
-  /** Called with the bound port when the listener is open. */
-  readonly onListening?: (port: number) => void
+  readonly listener: ControlListenerOptions
 }
 
+/** Either a listener that is open already, because its port is part of the registration, or one that the plugin opens. */
+export type ControlListenerOptions =
+  | { readonly kind: 'open', serve (handler: RequestListener): void, close (): Promise<void> }
+  | {
+    readonly kind: 'own'
+    readonly host: string
+    /** 0 takes a free port. */
+    readonly port: number
+    /** Plain HTTP without it. */
+    readonly tls?: TlsFiles | undefined
+    /** Called with the bound port when the listener is open. */
+    readonly onListening?: (port: number) => void
+  }
+
 /** Most bytes of the headers of a control call; batched queries travel in the URL. */
 const maxHeaderBytes = 64 * 1024
 const headersTimeoutMs = 10_000
@@ -26,20 +37,23 @@
 export function controlPlugin (options: ControlPluginOptions): Plugin {
   return definePlugin({
     name: 'control',
-    setup (context) {
+    async setup (context) {
       const registry = new HandlerRegistry()
       context.provide(controlRegistryKey, registry)
       const handle = createControlHandler(createRouterControl(registry.handlers), options.fleetSecret)
       const app = new H3().all(`${controlPath}/**`, event => handle(event.req))
-      const server = createServer({
+      const handler = toNodeHandler(app)
+      const { listener } = options
+      if (listener.kind === 'open') return { ready () { listener.serve(handler) }, close: () => listener.close() }
+      const server = await createListener({
         maxHeaderSize: maxHeaderBytes, headersTimeout: headersTimeoutMs, requestTimeout: requestTimeoutMs
-      }, toNodeHandler(app))
+      }, listener.tls, handler)
       return {
         async ready () {
-          await listen(server, options.port, options.host)
+          await listen(server, listener.port, listener.host)
           const { port } = server.address() as AddressInfo
           context.log.event('controlListening', { port })
-          options.onListening?.(port)
+          listener.onListening?.(port)
         },
         close: () => stopListening(server)
       }
--- a/packages/router/src/node/forward/relay.ts
+++ b/packages/router/src/node/forward/relay.ts
@@ -57,6 +57,7 @@
     const observed = { service: this.#plan.service.name, version: opened.place.version }
     this.#deps.metrics.timing('forward.headMs', this.#deps.timers.monotonicMs() - this.#startedMs, observed)
     const headMs = this.#deps.timers.monotonicMs() - this.#startedMs
+    this.#deps.book.noteSuccess(opened.place.endpoint)
     const end = await this.#relayBody(opened.attempt, opened.head.value, opened.place.requestId)
     this.#observe(opened.place, opened.head.value.status, end, headMs)
     return this.#finish(opened, opened.head.value, end, settler)
@@ -150,7 +151,8 @@
   }
 
   #headersFor (place: RunPlace, settler: Settler, span: Span): Readonly<Record<string, string>> {
-    const { plan, deps } = { plan: this.#plan, deps: this.#deps }
+    const plan = this.#plan
+    const deps = this.#deps
     const held = settler.held
     if (held === undefined) throw new Error('a request is forwarded without a reservation')
     const remainingMs = Math.max(0, plan.deadlineAtMs - deps.timers.monotonicMs())
@@ -169,7 +171,7 @@
       ...(plan.priceTokens === undefined ? {} : { priceTokens: plan.priceTokens }),
       settledSeq: held.settledSeq,
       contentHash: plan.contentHash,
-      routerUrl: deps.routerUrl
+      routerUrl: deps.routerUrl()
     }
     return {
       ...plan.headers,
@@ -221,6 +223,7 @@
     const { failure } = error
     if (failure.reason === 'endpointFull') this.#deps.book.noteFull(place.endpoint)
     if (failure.reason === 'endpointLeaving') this.#deps.book.noteLeaving(place.endpoint)
+    if (failure.reason === 'backEndFailed' || failure.reason === 'endpointLost') this.#deps.book.noteFailure(place.endpoint)
     if (failure.reason === 'backEndFailed' && failure.verdict.kind !== 'notRun') this.#observeFailure(place)
     const isDeath = failure.verdict.kind !== 'notRun' && (failure.reason === 'backEndFailed' || error.isGone)
     return { kind: 'failed', failure, isDeath, settlement: error.settlement }
