--- a/packages/bench/src/node/processes/routerProcess.ts
+++ b/packages/bench/src/node/processes/routerProcess.ts
@@ -67,7 +67,7 @@
       return undefined
     }
   })
-  const listener = { host: '127.0.0.1', port: 0, fleetSecret }
+  const address = { host: '127.0.0.1', port: 0 }
   await startKernel({
     timers: new SystemTimers(),
     log: silentLog,
@@ -75,8 +75,8 @@
     plugins: [
       platformFakes(self, endpoints),
       services,
-      controlPlugin(listener),
-      callerPlugin({ ...listener, tracing, random: Math.random, onListening: bound => { port = bound } })
+      controlPlugin({ fleetSecret, listener: { kind: 'own', ...address } }),
+      callerPlugin({ ...address, fleetSecret, tracing, random: Math.random, onListening: bound => { port = bound } })
     ]
   })
   return { url: `http://127.0.0.1:${port}` }
