Bound what callers hold, and name the endpoint's life in attaches

Cause: an endpoint process that starts again at the same address answered "not run" for requests that its earlier life may have run. Suspected endpoints stayed suspected after they had answered. Open requests and their bodies had no common bound.

Ruled out: comparing the incarnation in the registry after the answer; the registry lags.

Change: an attach carries the incarnation that the request was sent to, and the endpoint's answer for another life counts as a death. At most 4000 requests and 128 MiB of bodies are held.

--- a/packages/router/src/node/__tests__/fakeEndpoint.ts
+++ b/packages/router/src/node/__tests__/fakeEndpoint.ts
@@ -41,7 +41,7 @@
 
 export class FakeEndpoint {
   readonly received: Received[] = []
-  readonly attached: { readonly requestId: string, readonly offset: number }[] = []
+  readonly attached: { readonly requestId: string, readonly offset: number, readonly incarnation: string | null }[] = []
   readonly abandoned: string[] = []
   script: Script = ({ call, response }) => { answer(response, call.requestId, '{"ok":true}') }
   attachScript: AttachScript = (_, _offset, response) => { refuse(response, 'endpointLost', 'notRun') }
@@ -129,7 +129,7 @@
       return
     }
     const offset = Number(url.searchParams.get('offset'))
-    this.attached.push({ requestId, offset })
+    this.attached.push({ requestId, offset, incarnation: url.searchParams.get('incarnation') })
     response.setHeader(requestIdHeader, requestId)
     await this.attachScript(requestId, offset, response)
   }
--- a/packages/router/src/node/callers/__tests__/callerPath.test.ts
+++ b/packages/router/src/node/callers/__tests__/callerPath.test.ts
@@ -131,6 +131,18 @@
       expect(rig.settled).toHaveLength(0)
     })
 
+    it('refuses requests above its bounds before it reads them, so that slow callers cannot fill its memory', async () => {
+      const slow = new FakeEndpoint('e1')
+      const waiting: (() => void)[] = []
+      slow.script = ({ call, response }) => { waiting.push(() => { answer(response, call.requestId, 'ok') }) }
+      await start([slow], { settings: { maxOpenRequests: 1 } })
+      const first = get('/services/desk/chambers/1')
+      await expect.poll(() => waiting.length).toBe(1)
+      expect((await get('/services/desk/chambers/2')).status).toBe(429)
+      waiting[0]?.()
+      expect((await first).status).toBe(200)
+    })
+
     it('refuses a body above the limit and keeps the connection usable', async () => {
       await start([new FakeEndpoint('e1')], { settings: { maxBodyBytes: 100 } })
       expect((await post('/services/desk/bookings', { text: 'x'.repeat(200) })).status).toBe(413)
--- a/packages/router/src/node/callers/callerHandler.ts
+++ b/packages/router/src/node/callers/callerHandler.ts
@@ -9,6 +9,7 @@
 import { RequestRun } from '../forward/requestRun.ts'
 import type { RunDeps } from '../forward/runDeps.ts'
 import { CallerAnswer } from './callerAnswer.ts'
+import { HeldRequests } from './heldRequests.ts'
 import { planModelCall, planServiceCall, type PlanInput } from './planCall.ts'
 import { problemOf } from './problem.ts'
 
@@ -31,13 +32,18 @@
 const servicesPath = /^\/services\/([^/?]+)(\/[^?]*)(\?.*)?$/
 const bearer = /^Bearer +(\S+)$/i
 const notReadyRetryMs = 1000
+const routerFull: Failure = {
+  verdict: notRun, reason: 'endpointFull', detail: 'the router holds as many requests as it can', retryAfterMs: notReadyRetryMs
+}
 
 export class CallerHandler {
   readonly #deps: CallerHandlerDeps
   readonly #open = new Set<CallerAnswer>()
+  readonly #held: HeldRequests
 
   constructor (deps: CallerHandlerDeps) {
     this.#deps = deps
+    this.#held = new HeldRequests(deps.run.settings)
   }
 
   /** Sends the gauges of open requests. */
@@ -73,13 +79,17 @@
     if (this.#deps.isDraining()) response.setHeader('connection', 'close')
     const known: Known = { organisation: '', budget: '', service: '' }
     let outcome = 'failed'
+    const release = this.#held.tryHold(request)
     try {
-      outcome = await this.#answer(request, answer, plan, known, span, startedMs)
+      outcome = release === undefined
+        ? await this.#refuse(answer, known, routerFull)
+        : await this.#answer(request, answer, plan, known, span, startedMs)
     } catch (error) {
       this.#deps.run.log.event('callerRequestFailed', { error: String(error) })
       span.setStatus({ code: SpanStatusCode.ERROR, message: String(error) })
       await this.#refuse(answer, known, { verdict: mayHaveRun, reason: 'internal', detail: 'the router failed to handle the request' })
     }
+    release?.()
     this.#open.delete(answer)
     span.setAttributes({ ...known, outcome })
     span.end()
--- a/packages/router/src/node/forward/__tests__/crashes.test.ts
+++ b/packages/router/src/node/forward/__tests__/crashes.test.ts
@@ -1,6 +1,6 @@
 import { afterEach, describe, expect, it } from 'vitest'
 import { createRouterClient } from '@buckthorndrift/protocol'
-import { answer, FakeEndpoint } from '../../__tests__/fakeEndpoint.ts'
+import { answer, FakeEndpoint, refuse } from '../../__tests__/fakeEndpoint.ts'
 import { callerHeaders, startRig, type Rig } from '../../__tests__/routerRig.ts'
 
 describe('requests that crash endpoints', () => {
@@ -50,6 +50,17 @@
     expect(opened.filter(endpoint => endpoint.received.length > 0)).toHaveLength(2)
   })
 
+  it('takes "not run" only from the life of the process that the request was sent to', async () => {
+    await start(1)
+    const [endpoint] = opened as [FakeEndpoint]
+    endpoint.script = ({ response }) => { response.destroy() }
+    endpoint.attachScript = (_, _offset, response) => { refuse(response, 'endpointLost', 'mayHaveRun', 502) }
+    const response = await book('text')
+    expect(response.headers.get('bd-verdict')).toBe('mayHaveRun')
+    expect(endpoint.attached[0]).toMatchObject({ incarnation: '1' })
+    expect(rig.settled).toEqual([{ seq: 1, tokens: 20 }])
+  })
+
   it('takes the reports of endpoint processes, counts a repeated report once, and stores the evidence', async () => {
     await start(1)
     const client = createRouterClient({ url: rig.controlUrl, fleetSecret: 'secret', timeoutMs: 1000 })
--- a/packages/router/src/node/forward/__tests__/streams.test.ts
+++ b/packages/router/src/node/forward/__tests__/streams.test.ts
@@ -50,7 +50,7 @@
       resumeAt(endpoint)
       await start([endpoint])
       expect(await (await stream()).text()).toBe(whole)
-      expect(endpoint.attached).toEqual([{ requestId: endpoint.received[0]?.call.requestId, offset: 7 }])
+      expect(endpoint.attached).toEqual([{ requestId: endpoint.received[0]?.call.requestId, offset: 7, incarnation: '1' }])
       expect(rig.bills).toMatchObject([{ tokens: 2, outcome: 'completed' }])
     })
 
@@ -93,7 +93,7 @@
       const response = await fetch(`${rig.url}/services/desk/bookings`, { method: 'POST', headers: callerHeaders(), body: '{}' })
       expect(await response.text()).toBe('second')
       const ids = endpoint.received.map(received => received.call.requestId)
-      expect(endpoint.attached).toEqual([{ requestId: ids[0], offset: 0 }])
+      expect(endpoint.attached).toEqual([{ requestId: ids[0], offset: 0, incarnation: '1' }])
       expect(ids[1]).not.toBe(ids[0])
     })
 
--- a/packages/router/src/node/forward/attempt.ts
+++ b/packages/router/src/node/forward/attempt.ts
@@ -185,7 +185,10 @@
     const text = await this.#upstream?.readText() ?? ''
     this.#closeFresh()
     const failure = failureOf(text)
-    return failed(failure, this.#settlementOf(failure))
+    // A later life of the process answers for the one that had the request.
+    const isGone = failure.reason === 'endpointLost' && failure.verdict.kind === 'mayHaveRun'
+    if (isGone) this.#deps.onUnreachable(this.endpoint, true)
+    return failed(failure, isGone ? undefined : this.#settlementOf(failure), isGone)
   }
 
   /** The endpoint process charges nothing for a failure that it reports itself, unless the answer did run and is gone. */
@@ -227,7 +230,9 @@
     this.#wasSent = true
     this.#closeFresh()
     this.#freshClient = this.#deps.pools.fresh(this.endpoint)
-    const path = `/attach/${encodeURIComponent(this.#request.requestId)}?offset=${this.#offsetBytes}`
+    // Another life of the process at the same address must not say "not run" of what this one may have run.
+    const query = `offset=${this.#offsetBytes}&incarnation=${encodeURIComponent(this.endpoint.incarnation)}`
+    const path = `/attach/${encodeURIComponent(this.#request.requestId)}?${query}`
     this.#upstream = this.#exchange(this.#freshClient, 'GET', path, { authorization: `Bearer ${this.#deps.fleetSecret}` })
     return this.#upstream.head
   }
--- a/packages/router/src/node/forward/forwarding.ts
+++ b/packages/router/src/node/forward/forwarding.ts
@@ -50,7 +50,10 @@
     silence,
     fleetSecret,
     attachForMs: settings.attachForMs,
-    onLoad: (endpoint, header) => { book.noteLoad(endpoint, header) },
+    onLoad: (endpoint, header) => {
+      if (membership.isSuspected(endpoint.id)) membership.noteAlive(endpoint.id)
+      book.noteLoad(endpoint, header)
+    },
     onUnreachable: (endpoint, isGone) => {
       membership.noteUnreachable(endpoint.id)
       if (isGone) crashes.noteDeath(endpoint)
--- a/packages/router/src/shared/callerSettings.ts
+++ b/packages/router/src/shared/callerSettings.ts
@@ -11,6 +11,10 @@
   readonly requestTimeoutMs: number
   /** Most open connections from callers. */
   readonly maxConnections: number
+  /** Most requests that are answered at the same time; a slow caller may hold some 200 kB. */
+  readonly maxOpenRequests: number
+  /** Most bytes of all request bodies held at the same time. */
+  readonly maxHeldBodyBytes: number
   /** Deadline of requests without `X-Deadline-Ms`, in ms. */
   readonly defaultDeadlineMs: number
   /** Longest deadline that a caller can ask for, in ms. */
@@ -35,6 +39,8 @@
   headersTimeoutMs: 10_000,
   requestTimeoutMs: 30_000,
   maxConnections: 20_000,
+  maxOpenRequests: 4000,
+  maxHeldBodyBytes: 128 * 1024 * 1024,
   defaultDeadlineMs: 60_000,
   maxDeadlineMs: 600_000,
   streamBufferBytes: 16 * 1024,
