Create the budget ledger with a configured number of shards

The plugin of the stored budgets now takes the number and creates the layout before the first budget; callers cannot reach the ledger earlier, since their keys need a budget. The router process has still to pass the setting on.

--- a/packages/admin/src/index.ts
+++ b/packages/admin/src/index.ts
@@ -1,6 +1,6 @@
 /** Administration API of the fleet and its client. */
 export { adminListenerKey, budgetAdministrationKey, createAdminPlugin, type AdminListener, type AdminOptions } from './node/adminPlugin.ts'
-export { createStoredBudgetsPlugin } from './node/storedBudgetsPlugin.ts'
+export { createStoredBudgetsPlugin, type StoredBudgetsOptions } from './node/storedBudgetsPlugin.ts'
 export { createAdminClient, type AdminCallFailure, type AdminClient, type AdminClientOptions } from './node/adminClient.ts'
 export { openListener, type Listener, type ListenerOptions, type TlsFiles } from './node/listener.ts'
 export { parseAdminKeys, type AdminKey } from './shared/adminKeys.ts'
--- a/packages/admin/src/node/__tests__/fixture.ts
+++ b/packages/admin/src/node/__tests__/fixture.ts
@@ -93,7 +93,7 @@
   const admin = createAdminPlugin({
     host: '127.0.0.1', port: 0, keys: [{ name: 'other', hash: sha256('other') }, { name: 'anna', hash: sha256(adminKey) }], fleetSecret: 's', drainSelf () { fixture.drains++ }
   })
-  const kernel = await startKernel({ timers: new SystemTimers(), log: silentLog, metrics: silentMetrics, plugins: [platform, createStoredBudgetsPlugin(), admin] })
+  const kernel = await startKernel({ timers: new SystemTimers(), log: silentLog, metrics: silentMetrics, plugins: [platform, createStoredBudgetsPlugin({ shards: 4 }), admin] })
   const url = `http://127.0.0.1:${kernel.use(adminListenerKey).port}`
   return Object.assign(fixture, { url, kernel, learn: kernel.use(documentsKey).learn, client: createAdminClient({ url, key: adminKey, timeoutMs: 10_000 }) })
 }
--- a/packages/admin/src/node/__tests__/organisations.test.ts
+++ b/packages/admin/src/node/__tests__/organisations.test.ts
@@ -81,6 +81,11 @@
       expect((await admin.client.call('listBudgets', { organisation: 'acme' })).unwrap().items).toMatchObject([{ name: 'main', grantedTokens: 150 }])
     })
 
+    it('creates the ledger with the configured number of shards, which cannot be changed later', async () => {
+      await createBudget('acme')
+      expect(admin.store.objects.get('budgets/layout')?.value).toEqual({ shards: 4 })
+    })
+
     it('keeps budgets of the same name in two organisations apart', async () => {
       await createBudget('acme')
       await createBudget('bolt')
--- a/packages/admin/src/node/storedBudgets.ts
+++ b/packages/admin/src/node/storedBudgets.ts
@@ -2,7 +2,7 @@
 import { Ok, type Result } from 'ts-results-es'
 import { assertNever } from '@buckthorndrift/kernel'
 import {
-  createBudgetOn, ensureBudgetLayout, readBudgetShard, topUpBudgetOn, type BudgetOperationError, type BudgetReport, type ObjectStore
+  createBudgetOn, defaultBudgetShards, ensureBudgetLayout, readBudgetShard, topUpBudgetOn, type BudgetOperationError, type BudgetReport, type ObjectStore
 } from '@buckthorndrift/platform'
 import { shardOf, type BudgetEntry } from '@buckthorndrift/policy'
 import type { BudgetAdministration, BudgetBalance } from '../shared/budgetAdministration.ts'
@@ -38,10 +38,15 @@
   return budget.slice(0, budget.indexOf('/'))
 }
 
-/** Creates the administration of budgets on an object store. */
-export function createStoredBudgets (store: ObjectStore): BudgetAdministration {
+/**
+ * Creates the administration of budgets on an object store. `shards` is used
+ * only when there is no layout yet; it has to be there before the first budget.
+ */
+export function createStoredBudgets (store: ObjectStore, shards: number = defaultBudgetShards): BudgetAdministration {
   return {
     async create (budget, grantedTokens, operationId) {
+      const layout = await ensureBudgetLayout(store, shards)
+      if (layout.isErr()) return layout.mapErr(problemFrom)
       const created = await createBudgetOn(store, { budget, organisation: organisationOf(budget), grantedTokens, operationId })
       return created.map(balanceOfReport).mapErr(problemFrom)
     },
@@ -51,12 +56,12 @@
     },
 
     async read (budgets): Promise<Result<ReadonlyMap<string, BudgetBalance>, AdminProblem>> {
-      const layout = await ensureBudgetLayout(store)
+      const layout = await ensureBudgetLayout(store, shards)
       if (layout.isErr()) return layout.mapErr(problemFrom)
       const balances = new Map<string, BudgetBalance>()
-      const shards = [...new Set(budgets.map(budget => shardOf(budget, layout.value.shards)))]
-      for (let first = 0; first < shards.length; first += concurrentReads) {
-        const reads = await Promise.all(shards.slice(first, first + concurrentReads).map(shard => readBudgetShard(store, shard)))
+      const wanted = [...new Set(budgets.map(budget => shardOf(budget, layout.value.shards)))]
+      for (let first = 0; first < wanted.length; first += concurrentReads) {
+        const reads = await Promise.all(wanted.slice(first, first + concurrentReads).map(shard => readBudgetShard(store, shard)))
         for (const read of reads) {
           if (read.isErr()) return read.mapErr(problemFrom)
           for (const budget of budgets) {
--- a/packages/admin/src/node/storedBudgetsPlugin.ts
+++ b/packages/admin/src/node/storedBudgetsPlugin.ts
@@ -4,12 +4,17 @@
 import { budgetAdministrationKey } from './adminPlugin.ts'
 import { createStoredBudgets } from './storedBudgets.ts'
 
+export interface StoredBudgetsOptions {
+  /** Shards of the ledger when its layout is created; the default of the platform package when absent. */
+  readonly shards?: number
+}
+
 /** Provides `budgetAdministrationKey`; needs the object store. */
-export function createStoredBudgetsPlugin (): Plugin {
+export function createStoredBudgetsPlugin (options: StoredBudgetsOptions = {}): Plugin {
   return definePlugin({
     name: 'storedBudgets',
     setup (context) {
-      context.provide(budgetAdministrationKey, createStoredBudgets(context.use(objectStoreKey)))
+      context.provide(budgetAdministrationKey, createStoredBudgets(context.use(objectStoreKey), options.shards))
       return undefined
     }
   })
