Test the loss and the pause of a router on real processes

A router is killed with a stream and a booking open: the caller comes back with its keys to another router and gets the first answers, whole; the booking ran once. Its slices are reclaimed once a new life of it is registered. A paused router that wakes up spends nothing twice.

--- a/packages/router/src/node/routerProcess.ts
+++ b/packages/router/src/node/routerProcess.ts
@@ -116,7 +116,12 @@
       recordsLimitBytes: settings.recordsLimitBytes,
       recordHandoverMs: settings.recordFlushMs * 5
     }),
-    createBudgetPlugin({ limits: { flushMs: settings.budgetFlushMs } }),
+    createBudgetPlugin({
+      limits: { flushMs: settings.budgetFlushMs },
+      reclaimLimits: { reclaimWaitMs: settings.reclaimWaitMs },
+      shards: settings.budgetShards,
+      fleet: { fleetSecret, controlTimeoutMs }
+    }),
     createRolloutsPlugin({ fleetSecret, controlTimeoutMs, outcomeIntervalMs, random: Math.random }),
     callerPlugin({
       host: settings.callerHost,
--- a/playground/src/standIns.ts
+++ b/playground/src/standIns.ts
@@ -17,3 +17,9 @@
   const answer = await request(`${url}${kind === 'model' ? '/executions' : '/runs'}`)
   return await answer.body.json() as Readonly<Record<string, number>>
 }
+
+/** Requests that a plain service holds now. */
+export async function requestsHeld (url: string): Promise<number> {
+  const answer = await request(`${url}/load`)
+  return (await answer.body.json() as { inFlight: number }).inFlight
+}
