Settle reservations of records that a lost router leaves behind

Cause: a reservation that a killed router made at another router's slice was settled by nobody until it counted as an orphan after 15 minutes; its tokens were held that long, and the holder could not return its slice on shutdown. The router that takes such a record over from the endpoint process now settles its reservation too; repeats have no effect.

--- a/packages/router/src/node/records/recordsPlugin.ts
+++ b/packages/router/src/node/records/recordsPlugin.ts
@@ -3,7 +3,7 @@
 import { AccountCopies, RefusalAccounts } from '@buckthorndrift/policy'
 import { membershipKey, objectStoreKey } from '@buckthorndrift/platform'
 import { createEndpointClient, createRouterClient, type BillingRecord, type RefusalAccount } from '@buckthorndrift/protocol'
-import { controlRegistryKey, recordServiceKey, type RecordService, type RefusalDraft } from '../../shared/services.ts'
+import { budgetServiceKey, controlRegistryKey, recordServiceKey, type RecordService, type RefusalDraft } from '../../shared/services.ts'
 import { AccountReplicator } from './accountReplicator.ts'
 import { RecordWriter } from './recordWriter.ts'
 
@@ -103,6 +103,12 @@
     }
   }
 
+  /** A record comes from an endpoint process when its router is lost, which then has not settled it either. */
+  function takeOver (record: BillingRecord): void {
+    writer.billing.add(record)
+    context.use(budgetServiceKey).settle(record.budget, record.reservation, record.tokens)
+  }
+
   async function drain (): Promise<void> {
     for (let attempt = 0; attempt < drainFlushAttempts; attempt++) {
       if (await flush() && writer.sizeBytes === 0) return
@@ -114,7 +120,7 @@
   context.provide(recordServiceKey, service)
   context.use(controlRegistryKey).register('records', {
     replicateAccounts: async input => { copies.receive(input.writer, input.storedBelow, input.accounts, timers.nowMs()) },
-    handOver: async input => { for (const record of input.records) writer.billing.add(record) }
+    handOver: async input => { for (const record of input.records) takeOver(record) }
   })
   const stopFlushing = timers.every(options.recordsFlushMs, () => { void flush() })
   return { drain, close: stopFlushing }
--- a/playground/src/fleet.ts
+++ b/playground/src/fleet.ts
@@ -43,7 +43,7 @@
   readonly endpoints: RunningEndpoint[]
   startRouter (plan: RouterPlan): Promise<RunningRouter>
   startEndpoint (plan: EndpointPlan): Promise<RunningEndpoint>
-  /** Stops everything; routers and endpoint processes shut down gracefully first. */
+  /** Stops everything, processes of the fleet gracefully. */
   stop (): Promise<void>
 }
 
@@ -123,8 +123,9 @@
       return endpoint
     },
     async stop () {
-      await stopChildren(fleet.routers.map(router => router.child), stopLimitMs)
+      // Endpoint processes hand their records over to routers, so these stop last.
       await stopChildren(fleet.endpoints.map(endpoint => endpoint.child), stopLimitMs)
+      await stopChildren(fleet.routers.map(router => router.child), stopLimitMs)
       await stopChildren([...fleet.endpoints.map(endpoint => endpoint.backEnd), platform], stopLimitMs)
     }
   }
