Add bench of how fast a configuration change reaches every process

The design promises 9 s everywhere. The bench starts 50 document holders in 4 failure domains (14 routers, 36 as endpoint processes) over real loopback tRPC, with 64 directory documents, makes 10 changes, and counts calls and messages in 60 quiet seconds.

Messages between processes hold 500 kB of documents instead of 2 MB, so that one fits into its time limit of 1.5 s on a slow link.

--- /dev/null
+++ b/packages/bench/src/node/config/holders.ts
@@ -0,0 +1,150 @@
+/** Document holders in one process, each with its own kernel, and routers with a real control listener. */
+import { silentLog, silentMetrics, startKernel, SystemTimers, type Kernel, type Plugin } from '@buckthorndrift/kernel'
+import {
+  createDocumentsPlugin, createMembershipPlugin, createObjectStorePlugin, documentsKey, membershipKey, objectStoreKey, type DocumentsPluginOptions,
+  type HttpObjectStore
+} from '@buckthorndrift/platform'
+import type { DocumentHandlers, Member } from '@buckthorndrift/protocol'
+import { controlPlugin, controlRegistryKey } from '@buckthorndrift/router'
+import type { Random } from '../../shared/random.ts'
+
+/** How the holders learn of changes. */
+export type Distribution = 'exchange' | 'everyProcessWatches'
+
+export interface HoldersOptions {
+  readonly count: number
+  readonly failureDomains: number
+  /** Share of the holders that are routers; the others hold documents as endpoint processes do. */
+  readonly routerShare: number
+  readonly distribution: Distribution
+  readonly platformUrl: string
+  readonly random: Random
+}
+
+export interface Holder {
+  readonly failureDomain: string
+  readonly kernel: Kernel
+}
+
+/** Messages between holders, both directions, as JSON without HTTP headers. */
+export interface MessageCount {
+  messages: number
+  bytes: number
+}
+
+const fleetSecret = 'bench'
+const host = '127.0.0.1'
+const acquaintanceCheckMs = 100
+/** Longer than any run, so that the comparison never happens. */
+const neverMs = 1_000_000_000
+
+function counted (handlers: DocumentHandlers, count: MessageCount): DocumentHandlers {
+  return {
+    async exchange (input) {
+      const answer = await handlers.exchange(input)
+      count.messages += 1
+      count.bytes += JSON.stringify(input).length + JSON.stringify(answer).length
+      return answer
+    }
+  }
+}
+
+function documentsOptions (distribution: Distribution): Partial<DocumentsPluginOptions> {
+  switch (distribution) {
+    case 'exchange': return {}
+    case 'everyProcessWatches': return {
+      tuning: { watchers: Number.POSITIVE_INFINITY, intervalMs: neverMs },
+      call: async () => { throw new Error('the baseline sends no messages') }
+    }
+  }
+}
+
+function createSelf (index: number, options: HoldersOptions, address: { port: number }): Member {
+  const isRouter = index < Math.round(options.count * options.routerShare)
+  return {
+    id: `p${index}`,
+    incarnation: '1',
+    role: isRouter ? 'router' : 'endpoint',
+    vm: `vm${index}`,
+    failureDomain: `domain${index % options.failureDomains}`,
+    // The port is known once the control listener is open, before the process registers.
+    get controlUrl () { return `http://${host}:${address.port}` },
+    leaving: false
+  }
+}
+
+async function startHolder (index: number, options: HoldersOptions, count: MessageCount): Promise<Holder> {
+  const address = { port: 0 }
+  const self = createSelf(index, options, address)
+  const control: readonly Plugin[] = self.role === 'router'
+    ? [controlPlugin({ fleetSecret, listener: { kind: 'own', host, port: 0, onListening: port => { address.port = port } } })]
+    : []
+  const random = (): number => options.random.next()
+  const kernel = await startKernel({
+    timers: new SystemTimers(),
+    log: silentLog,
+    metrics: silentMetrics,
+    plugins: [
+      ...control,
+      createObjectStorePlugin({ url: options.platformUrl, random }),
+      createDocumentsPlugin({
+        self,
+        fleetSecret,
+        random,
+        ...documentsOptions(options.distribution),
+        ...(self.role === 'router'
+          ? { registerExchange: (context, handlers) => { context.use(controlRegistryKey).register('documents', counted(handlers, count)) } }
+          : {})
+      }),
+      createMembershipPlugin({ self, random })
+    ]
+  })
+  return { failureDomain: self.failureDomain, kernel }
+}
+
+/** Starts all holders at once and registers them. */
+export async function startHolders (options: HoldersOptions): Promise<{ readonly holders: readonly Holder[], readonly messages: MessageCount }> {
+  const messages: MessageCount = { messages: 0, bytes: 0 }
+  const holders = await Promise.all(Array.from({ length: options.count }, (_, index) => startHolder(index, options, messages)))
+  return { holders, messages }
+}
+
+/** Resolves once every holder knows every router; throws after `limitMs`. */
+export async function waitUntilAcquainted (holders: readonly Holder[], limitMs: number): Promise<void> {
+  const timers = new SystemTimers()
+  const members = holders.map(({ kernel }) => kernel.use(membershipKey))
+  const routers = members.filter(({ self }) => self.role === 'router').length
+  for (const startMs = timers.monotonicMs(); !members.every(membership => membership.routers().length >= routers);) {
+    if (timers.monotonicMs() - startMs > limitMs) throw new Error(`some holders do not know all routers after ${limitMs} ms`)
+    await new Promise<void>(resolve => { timers.after(acquaintanceCheckMs, resolve) })
+  }
+}
+
+/** Cuts a failure domain off from the platform; its connections to peers stay. */
+export async function cutOffFromPlatform (holders: readonly Holder[], failureDomain: string): Promise<void> {
+  const inside = holders.filter(holder => holder.failureDomain === failureDomain)
+  await Promise.all(inside.map(({ kernel }) => (kernel.use(objectStoreKey) as HttpObjectStore).close()))
+}
+
+/** Time in ms from now until each holder has the version of the document; `undefined` for holders that do not get it in time. */
+export function timesUntilHeld (holders: readonly Holder[], name: string, version: number, limitMs: number): Promise<ReadonlyArray<number | undefined>> {
+  const timers = new SystemTimers()
+  const startMs = timers.monotonicMs()
+  const timeOf = (holder: Holder): Promise<number | undefined> => new Promise(resolve => {
+    const documents = holder.kernel.use(documentsKey)
+    if ((documents.get(name)?.version ?? 0) >= version) {
+      resolve(0)
+      return
+    }
+    const finish = (result: number | undefined): void => {
+      unsubscribe()
+      cancel()
+      resolve(result)
+    }
+    const unsubscribe = documents.subscribe(name, document => {
+      if (document.version >= version) finish(timers.monotonicMs() - startMs)
+    })
+    const cancel = timers.after(limitMs, () => { finish(undefined) })
+  })
+  return Promise.all(holders.map(timeOf))
+}
--- a/packages/platform/src/shared/documentTable.ts
+++ b/packages/platform/src/shared/documentTable.ts
@@ -11,8 +11,8 @@
 
 /** Most documents in one message, as the protocol allows. */
 const maxDocuments = 200
-/** Most bytes of documents in one message; a single larger document is sent alone. */
-const maxMessageBytes = 2_000_000
+/** Most bytes of documents in one message, so that one fits into its time limit on a slow link; a single larger document is sent alone. */
+const maxMessageBytes = 500_000
 
 interface Held {
   readonly document: StoredObject
