--- a/packages/admin/src/node/adminPlugin.ts
+++ b/packages/admin/src/node/adminPlugin.ts
@@ -48,10 +48,11 @@
   return definePlugin({
     name: 'admin',
     setup (context) {
+      const store = context.use(objectStoreKey)
       const documents = context.use(documentsKey)
       const membership = context.use(membershipKey)
       const services: AdminServices = {
-        store: context.use(objectStoreKey),
+        store,
         documents,
         membership,
         budgets: context.use(budgetAdministrationKey),
--- a/packages/router/src/node/callers/callerHandler.ts
+++ b/packages/router/src/node/callers/callerHandler.ts
@@ -9,6 +9,7 @@
 import { RequestRun } from '../forward/requestRun.ts'
 import type { RunDeps } from '../forward/runDeps.ts'
 import { CallerAnswer } from './callerAnswer.ts'
+import { HeldRequests } from './heldRequests.ts'
 import { planModelCall, planServiceCall, type PlanInput } from './planCall.ts'
 import { problemOf } from './problem.ts'
 
@@ -31,12 +32,32 @@
 const servicesPath = /^\/services\/([^/?]+)(\/[^?]*)(\?.*)?$/
 const bearer = /^Bearer +(\S+)$/i
 const notReadyRetryMs = 1000
+const routerFull: Failure = {
+  verdict: notRun, reason: 'endpointFull', detail: 'the router holds as many requests as it can', retryAfterMs: notReadyRetryMs
+}
 
 export class CallerHandler {
   readonly #deps: CallerHandlerDeps
+  readonly #open = new Set<CallerAnswer>()
+  readonly #held: HeldRequests
 
   constructor (deps: CallerHandlerDeps) {
     this.#deps = deps
+    this.#held = new HeldRequests(deps.run.settings)
+  }
+
+  /** Sends the gauges of open requests. */
+  measure (): void {
+    const { metrics } = this.#deps.run
+    metrics.gauge('caller.open', this.#open.size)
+    metrics.gauge('caller.waitingBytes', [...this.#open].reduce((sum, answer) => sum + answer.waitingBytes, 0))
+  }
+
+  /** `GET /health`, for the balancer: 200 when requests can be served, 503 before and during a graceful shutdown. */
+  health (response: ServerResponse): void {
+    const status = this.#deps.isDraining() ? 'draining' : this.#deps.config.fleet() === undefined ? 'starting' : 'ready'
+    response.writeHead(status === 'ready' ? 200 : 503, { 'content-type': 'application/json' })
+    response.end(JSON.stringify({ status }))
   }
 
   /** `POST /v1/chat/completions` */
@@ -60,17 +81,23 @@
     const { timers, metrics, tracing } = this.#deps.run
     const startedMs = timers.monotonicMs()
     const answer = new CallerAnswer(response)
+    this.#open.add(answer)
     const span = tracing.tracer.startSpan('caller request', { attributes: { method: request.method ?? '' } }, tracing.extract(request.headers))
     if (this.#deps.isDraining()) response.setHeader('connection', 'close')
     const known: Known = { organisation: '', budget: '', service: '' }
     let outcome = 'failed'
+    const release = this.#held.tryHold(request)
     try {
-      outcome = await this.#answer(request, answer, plan, known, span, startedMs)
+      outcome = release === undefined
+        ? await this.#refuse(answer, known, routerFull)
+        : await this.#answer(request, answer, plan, known, span, startedMs)
     } catch (error) {
       this.#deps.run.log.event('callerRequestFailed', { error: String(error) })
       span.setStatus({ code: SpanStatusCode.ERROR, message: String(error) })
       await this.#refuse(answer, known, { verdict: mayHaveRun, reason: 'internal', detail: 'the router failed to handle the request' })
     }
+    release?.()
+    this.#open.delete(answer)
     span.setAttributes({ ...known, outcome })
     span.end()
     metrics.increment('caller.requests', 1, { service: known.service, outcome })
--- a/packages/router/src/node/control/controlPlugin.ts
+++ b/packages/router/src/node/control/controlPlugin.ts
@@ -1,11 +1,12 @@
 /** Control listener of a router: tRPC for processes with the fleet secret. */
-import { createServer, type RequestListener } from 'node:http'
+import type { RequestListener } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import { H3, toNodeHandler } from 'h3'
+import type { TlsFiles } from '@buckthorndrift/admin'
 import { definePlugin, type Plugin } from '@buckthorndrift/kernel'
 import { controlPath, createControlHandler, createRouterControl } from '@buckthorndrift/protocol'
 import { controlRegistryKey } from '../../shared/services.ts'
-import { listen, stopListening } from '../listening.ts'
+import { createListener, listen, stopListening } from '../listening.ts'
 import { HandlerRegistry } from './handlerRegistry.ts'
 
 export interface ControlPluginOptions {
@@ -21,6 +22,8 @@
     readonly host: string
     /** 0 takes a free port. */
     readonly port: number
+    /** Plain HTTP without it. */
+    readonly tls?: TlsFiles | undefined
     /** Called with the bound port when the listener is open. */
     readonly onListening?: (port: number) => void
   }
@@ -34,7 +37,7 @@
 export function controlPlugin (options: ControlPluginOptions): Plugin {
   return definePlugin({
     name: 'control',
-    setup (context) {
+    async setup (context) {
       const registry = new HandlerRegistry()
       context.provide(controlRegistryKey, registry)
       const handle = createControlHandler(createRouterControl(registry.handlers), options.fleetSecret)
@@ -42,9 +45,9 @@
       const handler = toNodeHandler(app)
       const { listener } = options
       if (listener.kind === 'open') return { ready () { listener.serve(handler) }, close: () => listener.close() }
-      const server = createServer({
+      const server = await createListener({
         maxHeaderSize: maxHeaderBytes, headersTimeout: headersTimeoutMs, requestTimeout: requestTimeoutMs
-      }, handler)
+      }, listener.tls, handler)
       return {
         async ready () {
           await listen(server, listener.port, listener.host)
--- a/packages/router/src/node/forward/attempt.ts
+++ b/packages/router/src/node/forward/attempt.ts
@@ -87,8 +87,9 @@
     this.#upstream = this.#exchange(pool, method, path, headers, body)
     const head = await this.#upstream.head
     if (head.isOk()) {
-      // An answer to something else, such as one of Node's own to headers that are too long, is nobody's answer.
-      return this.#isOwn(head.value) ? this.#accept(head.value) : this.#recover({ kind: 'broken', detail: 'the answer names no request' })
+      if (this.#isOwn(head.value)) return this.#accept(head.value)
+      if (isFromListener(head.value)) return this.#refusedByListener(head.value)
+      return this.#recover({ kind: 'broken', detail: 'the answer names another request' })
     }
     if (head.error.kind === 'invalid') return failed({ verdict: notRun, reason: 'badRequest', detail: `the request cannot be forwarded: ${head.error.detail}` })
     if (head.error.kind === 'notSent') {
@@ -170,6 +171,11 @@
     return head.headers[requestIdHeader] === this.#request.requestId
   }
 
+  #refusedByListener (head: UpstreamHead): Result<never, AttemptFailure> {
+    this.#upstream?.abort()
+    return failed({ verdict: notRun, reason: 'endpointLost', detail: `the endpoint process does not take requests (status ${head.status})` })
+  }
+
   async #accept (head: UpstreamHead): Promise<Result<UpstreamHead, AttemptFailure>> {
     this.#deps.onLoad(this.endpoint, head.headers[loadHeader])
     if (head.headers[verdictHeader] === undefined) {
@@ -179,7 +185,10 @@
     const text = await this.#upstream?.readText() ?? ''
     this.#closeFresh()
     const failure = failureOf(text)
-    return failed(failure, this.#settlementOf(failure))
+    // A later life of the process answers for the one that had the request.
+    const isGone = failure.reason === 'endpointLost' && failure.verdict.kind === 'mayHaveRun'
+    if (isGone) this.#deps.onUnreachable(this.endpoint, true)
+    return failed(failure, isGone ? undefined : this.#settlementOf(failure), isGone)
   }
 
   /** The endpoint process charges nothing for a failure that it reports itself, unless the answer did run and is gone. */
@@ -221,7 +230,9 @@
     this.#wasSent = true
     this.#closeFresh()
     this.#freshClient = this.#deps.pools.fresh(this.endpoint)
-    const path = `/attach/${encodeURIComponent(this.#request.requestId)}?offset=${this.#offsetBytes}`
+    // Another life of the process at the same address must not say "not run" of what this one may have run.
+    const query = `offset=${this.#offsetBytes}&incarnation=${encodeURIComponent(this.endpoint.incarnation)}`
+    const path = `/attach/${encodeURIComponent(this.#request.requestId)}?${query}`
     this.#upstream = this.#exchange(this.#freshClient, 'GET', path, { authorization: `Bearer ${this.#deps.fleetSecret}` })
     return this.#upstream.head
   }
@@ -246,6 +257,11 @@
   }
 }
 
+/** The gate names the request in all of its answers; the listener in front of it refuses without a name, for example before the gate is open. */
+function isFromListener (head: UpstreamHead): boolean {
+  return head.status >= 400 && (head.headers[requestIdHeader] ?? '') === ''
+}
+
 const lost: Failure = { verdict: mayHaveRun, reason: 'endpointLost', detail: 'the endpoint was lost before it answered' }
 
 function failed (failure: Failure, settlement?: Settlement, isGone = false): Result<never, AttemptFailure> {
--- a/packages/router/src/node/forward/forwarding.ts
+++ b/packages/router/src/node/forward/forwarding.ts
@@ -50,7 +50,10 @@
     silence,
     fleetSecret,
     attachForMs: settings.attachForMs,
-    onLoad: (endpoint, header) => { book.noteLoad(endpoint, header) },
+    onLoad: (endpoint, header) => {
+      if (membership.isSuspected(endpoint.id)) membership.noteAlive(endpoint.id)
+      book.noteLoad(endpoint, header)
+    },
     onUnreachable: (endpoint, isGone) => {
       membership.noteUnreachable(endpoint.id)
       if (isGone) crashes.noteDeath(endpoint)
@@ -79,7 +82,8 @@
     timers,
     tracing,
     versions: context.use(versionServiceKey),
-    routerUrl: self.controlUrl
+    // With an automatic address the URL is known only when the control listener is open.
+    routerUrl: () => membership.self.controlUrl
   }
   return {
     deps,
--- a/packages/router/src/node/routerProcess.ts
+++ b/packages/router/src/node/routerProcess.ts
@@ -123,6 +123,7 @@
       port: settings.callerPort,
       fleetSecret,
       tracing,
+      tls: tlsFilesOf(settings, 'caller'),
       random: Math.random,
       settings: {
         maxBodyBytes: settings.requestLimitBytes,
@@ -131,6 +132,7 @@
         maxDeadlineMs: settings.deadlineLimitMs,
         streamBufferBytes: settings.streamLimitBytes,
         silenceMs: settings.silenceMs,
+        drainDelayMs: settings.drainDelayMs,
         controlTimeoutMs
       },
       onListening: port => { onListening?.('caller', port) }
--- a/packages/router/src/shared/callerSettings.ts
+++ b/packages/router/src/shared/callerSettings.ts
@@ -11,6 +11,10 @@
   readonly requestTimeoutMs: number
   /** Most open connections from callers. */
   readonly maxConnections: number
+  /** Most requests that are answered at the same time; a slow caller may hold some 200 kB. */
+  readonly maxOpenRequests: number
+  /** Most bytes of all request bodies held at the same time. */
+  readonly maxHeldBodyBytes: number
   /** Deadline of requests without `X-Deadline-Ms`, in ms. */
   readonly defaultDeadlineMs: number
   /** Longest deadline that a caller can ask for, in ms. */
@@ -25,6 +29,8 @@
   readonly controlTimeoutMs: number
   /** Time for which an answer is sought again at its endpoint before the endpoint counts as lost, in ms. */
   readonly attachForMs: number
+  /** Time between the first failed health check of a graceful shutdown and the end of the listener, in ms. */
+  readonly drainDelayMs: number
   /** Time for which an endpoint that refused as full is avoided, in ms. */
   readonly avoidFullMs: number
 }
@@ -35,6 +41,8 @@
   headersTimeoutMs: 10_000,
   requestTimeoutMs: 30_000,
   maxConnections: 20_000,
+  maxOpenRequests: 4000,
+  maxHeldBodyBytes: 128 * 1024 * 1024,
   defaultDeadlineMs: 60_000,
   maxDeadlineMs: 600_000,
   streamBufferBytes: 16 * 1024,
@@ -42,5 +50,6 @@
   connectTimeoutMs: 1000,
   controlTimeoutMs: 2000,
   attachForMs: 6000,
+  drainDelayMs: 0,
   avoidFullMs: 250
 }
