Take the limit from the fleet text, trace calls, test guards of claims

Cause: operators set endpointLimit in the fleet text; the process had only its own setting. Some guards of the claim logic had no test that fails without them.

--- a/packages/endpoint/src/node/__tests__/lifecycle.test.ts
+++ b/packages/endpoint/src/node/__tests__/lifecycle.test.ts
@@ -75,6 +75,17 @@
     expect((await send(endpoint, under('new.1'))).status).toBe(503)
   })
 
+  it('takes the limit of the back end from the newest fleet text, and keeps it when a text is not valid', async () => {
+    const text = (limit: number) => ({ text: `services:\n  desk:\n    kind: plain\n    versions: [{ name: v1 }]\n    endpointLimit: ${limit}\n    calls: [{ route: GET /a, idempotent: true, priceTokens: 1 }]\n` })
+    platform.put('config/fleet', text(3))
+    await start()
+    expect(endpoint.gate.load().limit).toBe(3)
+    platform.put('config/fleet', text(5))
+    expect(endpoint.gate.load().limit).toBe(5)
+    platform.put('config/fleet', { text: 'services: [' })
+    expect(endpoint.gate.load().limit).toBe(5)
+  })
+
   it('asks the holder about old entries and drops what it has flushed', async () => {
     await start({ entryQueryMs: 40 })
     await send(endpoint, callOf())
--- a/packages/endpoint/src/node/callHandlers.ts
+++ b/packages/endpoint/src/node/callHandlers.ts
@@ -1,6 +1,6 @@
 /** Handles calls and attaches on the data listener. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import type { TimerService } from '@buckthorndrift/kernel'
+import type { TimerService, Tracing } from '@buckthorndrift/kernel'
 import { callHeader, callSchema, requestIdHeader, type Call } from '@buckthorndrift/protocol'
 import type { Failure } from '@buckthorndrift/policy'
 import { Answer } from '../shared/answer.ts'
@@ -16,6 +16,7 @@
   readonly settings: EndpointSettings
   readonly incarnation: string
   readonly timers: TimerService
+  readonly tracing?: Tracing | undefined
 }
 
 type BodyOutcome = { readonly kind: 'complete', readonly body: Buffer } | { readonly kind: 'tooLarge' } | { readonly kind: 'broken' }
@@ -66,9 +67,20 @@
   else response.once('close', removeReader)
 }
 
+/** One span from the arrival of a call to the end of its response. Returns the headers for the back end. */
+function traceHop (tracing: Tracing, call: Call, request: IncomingMessage, response: ServerResponse): Readonly<Record<string, string>> {
+  const attributes = { requestId: call.requestId, service: call.service, version: call.version, route: call.route }
+  const span = tracing.tracer.startSpan('endpoint.call', { attributes }, tracing.extract(request.headers))
+  response.once('close', () => {
+    span.setAttribute('status', response.statusCode)
+    span.end()
+  })
+  return tracing.inject(span)
+}
+
 /** Handles `<method> <path>` with header `bd-call`. */
 export function createCallHandler (options: CallHandlerOptions): NodeHandler {
-  const { gate, settings, timers } = options
+  const { gate, settings, timers, tracing } = options
   async function handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
     const arrivedAtMs = timers.monotonicMs()
     const call = parseCall(request)
@@ -79,6 +91,7 @@
     const headers = requestHeadersOf(request.headers)
     // A compressed stream could be neither metered nor interleaved with heartbeats.
     if (settings.backEndKind === 'model') delete headers['accept-encoding']
+    if (tracing !== undefined) Object.assign(headers, traceHop(tracing, call, request, response))
     const answer = gate.accept(call, {
       requestId: call.requestId, method: request.method ?? 'GET', path: request.url ?? '/', headers, body: outcome.body
     }, arrivedAtMs + call.deadlineMs)
--- a/packages/endpoint/src/node/endpointPlugins.ts
+++ b/packages/endpoint/src/node/endpointPlugins.ts
@@ -1,7 +1,7 @@
 /** The plug-ins of an endpoint process, and its start in process. */
 import { randomUUID } from 'node:crypto'
 import {
-  definePlugin, silentLog, silentMetrics, startKernel, type Kernel, type Log, type Metrics, type Plugin, type TimerService
+  definePlugin, silentLog, silentMetrics, startKernel, type Kernel, type Log, type Metrics, type Plugin, type TimerService, type Tracing
 } from '@buckthorndrift/kernel'
 import { createEndpointControl, type EndpointControlHandlers, type Member } from '@buckthorndrift/protocol'
 import type { EndpointSettings } from '../shared/endpointSettings.ts'
@@ -10,6 +10,7 @@
 import { Gate } from './gate.ts'
 import { createClaimsPlugin } from './claimsPlugin.ts'
 import { createLifecyclePlugin } from './lifecyclePlugin.ts'
+import { createLimitPlugin } from './limitPlugin.ts'
 import { openListener, type Listener } from './listener.ts'
 import { createPeersPlugin } from './peersPlugin.ts'
 import { createRecordsPlugin } from './recordsPlugin.ts'
@@ -20,6 +21,7 @@
   readonly incarnation: string
   readonly listener: Listener
   readonly gate: Gate
+  readonly tracing?: Tracing | undefined
   /** Starts the graceful shutdown of the process. */
   readonly stop: () => void
 }
@@ -42,11 +44,11 @@
   })
 }
 
-function createDataPlugin ({ settings, incarnation, listener, gate }: EndpointPluginOptions): Plugin {
+function createDataPlugin ({ settings, incarnation, listener, gate, tracing }: EndpointPluginOptions): Plugin {
   return definePlugin({
     name: 'data',
     setup (context) {
-      const options = { gate, settings, incarnation, timers: context.timers }
+      const options = { gate, settings, incarnation, timers: context.timers, tracing }
       const control = context.use(controlPartsKey)
       return {
         ready () {
@@ -70,6 +72,7 @@
   return [
     createControlPlugin(),
     createPeersPlugin(settings),
+    createLimitPlugin(settings, gate),
     createSlicesPlugin(settings, incarnation, gate),
     createRecordsPlugin(settings, incarnation, gate),
     createLifecyclePlugin(settings, gate, options.stop),
@@ -83,6 +86,7 @@
   readonly timers: TimerService
   readonly log?: Log
   readonly metrics?: Metrics
+  readonly tracing?: Tracing
   /** Plug-ins that provide object store, documents and membership for this process. */
   readonly platform: (self: Member) => readonly Plugin[]
 }
@@ -124,7 +128,7 @@
       plugins: [
         definePlugin({ name: 'stop', setup: () => ({ close: () => { noteStopped() } }) }),
         ...options.platform(self),
-        ...createEndpointPlugins({ settings, incarnation, listener, gate, stop })
+        ...createEndpointPlugins({ settings, incarnation, listener, gate, stop, tracing: options.tracing })
       ]
     })
   } catch (error) {
--- a/packages/endpoint/src/node/runEndpoint.ts
+++ b/packages/endpoint/src/node/runEndpoint.ts
@@ -1,18 +1,26 @@
 /** Runs the endpoint process from its settings until it is asked to stop. */
 import {
-  createRoarrLog, createStatsdMetrics, rejectSettings, resolveSettings, runProcess, silentMetrics, SystemTimers,
-  type EventLevel, type Metrics, type Plugin
+  createRoarrLog, createSpanLineExporter, createStatsdMetrics, createTracing, rejectSettings, resolveSettings, runProcess, silentMetrics,
+  SystemTimers, type EventLevel, type Metrics, type Plugin, type Tracing
 } from '@buckthorndrift/kernel'
 import { createDocumentsPlugin, createMembershipPlugin, createObjectStorePlugin } from '@buckthorndrift/platform'
 import type { Member } from '@buckthorndrift/protocol'
 import { endpointSettings, type EndpointSettings } from '../shared/endpointSettings.ts'
 import { startEndpoint } from './endpointPlugins.ts'
 
+/** Time after the drain limit for handovers and deregistration, in ms. */
+const handoverMs = 30_000
+
 function openMetrics (settings: EndpointSettings): Metrics {
   if (settings.statsdHost === '') return silentMetrics
   return createStatsdMetrics({ host: settings.statsdHost, port: settings.statsdPort, tags: { endpoint: settings.id, failureDomain: settings.failureDomain } })
 }
 
+function openTracing (settings: EndpointSettings): Tracing {
+  const serviceName = `endpoint ${settings.id}`
+  return settings.spans === 'lines' ? createTracing({ serviceName, exporter: createSpanLineExporter(process.stderr) }) : createTracing({ serviceName })
+}
+
 function platformPlugins (settings: EndpointSettings, self: Member): readonly Plugin[] {
   return [
     createObjectStorePlugin({ url: settings.platformUrl }),
@@ -31,13 +39,14 @@
   if (resolved.isErr()) return rejectSettings('endpoint process', resolved.error)
   const settings = resolved.value
   const log = createRoarrLog({ scope: 'endpoint', level: settings.logLevel as EventLevel, base: { endpoint: settings.id } })
-  return runProcess({
+  const tracing = openTracing(settings)
+  const exitCode = await runProcess({
     label: 'endpoint process',
     log,
-    drainLimitMs: settings.drainLimitMs,
+    drainLimitMs: settings.drainLimitMs + handoverMs,
     async start (requestStop) {
       const endpoint = await startEndpoint({
-        settings, timers: new SystemTimers(), log, metrics: openMetrics(settings), platform: self => platformPlugins(settings, self)
+        settings, timers: new SystemTimers(), log, metrics: openMetrics(settings), tracing, platform: self => platformPlugins(settings, self)
       })
       process.stdout.write(`listening data ${endpoint.self.controlUrl}\n`)
       // Control `drain` stops the kernel by itself; the process then has nothing left to do.
@@ -45,4 +54,6 @@
       return endpoint.kernel
     }
   })
+  await tracing.close()
+  return exitCode
 }
--- a/packages/endpoint/src/shared/endpointSettings.ts
+++ b/packages/endpoint/src/shared/endpointSettings.ts
@@ -35,6 +35,7 @@
   controlTimeoutMs: { kind: 'number', summary: 'time limit of a control call to another process', unit: 'ms', min: 10, max: 600_000, default: 2000 },
   drainLimitMs: { kind: 'number', summary: 'longest graceful shutdown', unit: 'ms', min: 0, max: 86_400_000, default: 600_000 },
   logLevel: { kind: 'choice', summary: 'lowest level of log events that are written', choices: ['debug', 'info', 'warn', 'error'], default: 'info' },
+  spans: { kind: 'choice', summary: 'where finished spans go: nowhere, or as JSON lines to standard error', choices: ['none', 'lines'], default: 'none' },
   statsdHost: { kind: 'text', summary: 'address of the StatsD agent; no metrics are sent without it', default: '' },
   statsdPort: { kind: 'number', summary: 'port of the StatsD agent', unit: 'port', min: 1, max: 65_535, default: 8125 }
 })
--- a/packages/policy/src/shared/claims/__tests__/claims.test.ts
+++ b/packages/policy/src/shared/claims/__tests__/claims.test.ts
@@ -1,6 +1,6 @@
 import fc from 'fast-check'
 import { describe, expect, it } from 'vitest'
-import { ClaimShard, claimShardOf, createClaimLayout, findClaimPlace, type ClaimCopy, type ClaimProcess } from '../index.ts'
+import { ClaimNode, ClaimShard, claimShardOf, createClaimLayout, findClaimPlace, type ClaimCopy, type ClaimProcess } from '../index.ts'
 import { World } from './claimWorld.ts'
 
 const ids = fc.constantFrom('e0', 'e1', 'e2', 'e3')
@@ -14,6 +14,7 @@
   fc.record({ kind: fc.constant('cut' as const), atMs, id: ids, durationMs }),
   fc.record({ kind: fc.constant('platformDown' as const), atMs, durationMs })
 )
+const [self, peer] = ['e0', 'e1'].map(id => ({ id, incarnation: '1', url: id, vm: id, failureDomain: id })) as [ClaimProcess, ClaimProcess]
 const shardOptions = { service: 's', shard: 0, retentionMs: 1000, limit: 100, nowMs: () => 0 }
 /** `CLAIM_RUNS` sets the number of random worlds for long runs. */
 const runs = Number(process.env['CLAIM_RUNS'] ?? 150)
@@ -44,10 +45,9 @@
   })
 
   it('keep the latest claim on a key at the witness when an earlier copy arrives late', async () => {
-    const [self, process] = ['e0', 'e1'].map(id => ({ id, incarnation: '1', url: id, vm: id, failureDomain: id })) as [ClaimProcess, ClaimProcess]
     const sent: ClaimCopy[] = []
     let isAnswering = true
-    const witness = new ClaimShard({ ...shardOptions, self: process, send: async () => undefined })
+    const witness = new ClaimShard({ ...shardOptions, self: peer, send: async () => undefined })
     const owner = new ClaimShard({
       ...shardOptions,
       self,
@@ -58,10 +58,10 @@
     })
     const ask = (requestId: string, replaces?: string) =>
       owner.claim({ service: 's', shard: 0, epoch: 1, claim: { keyHash: keys[0]!, contentHash: 'c', requestId, runner: self, idempotent: false }, replaces })
-    owner.learn({ epoch: 1, owner: self, witness: process, unknownForMs: 0 })
+    owner.learn({ epoch: 1, owner: self, witness: peer, unknownForMs: 0 })
     await ask('r.1.1')
     isAnswering = false
-    owner.learn({ epoch: 2, owner: self, witness: process, unknownForMs: 0 })
+    owner.learn({ epoch: 2, owner: self, witness: peer, unknownForMs: 0 })
     await new Promise(resolve => { setImmediate(resolve) })
     isAnswering = true
     const late = sent.at(-1)!
@@ -70,6 +70,42 @@
     expect(witness.find(keys[0]!)?.requestId).toBe('r.1.2')
   })
 
+  it('are trusted only by a process that has every claim of the epoch before', async () => {
+    const claim = { keyHash: keys[0]!, contentHash: 'c', requestId: 'r.1.1', runner: self, idempotent: false }
+    const copy = { service: 's', shard: 0, epoch: 1, claims: [claim], isComplete: false, unknownForMs: 0 }
+    const shard = new ClaimShard({ ...shardOptions, self, send: async () => undefined })
+    expect(shard.replicate(copy), 'part of a shard under an unknown epoch').toEqual({ isAccepted: false, epoch: 0 })
+    shard.learn({ epoch: 1, owner: peer, witness: self, unknownForMs: 0 })
+    expect(shard.replicate(copy), 'part of a shard before the whole').toEqual({ isAccepted: false, epoch: 1 })
+    expect(shard.isWhole).toBe(false)
+    shard.replicate({ ...copy, isComplete: true })
+    shard.learn({ epoch: 3, owner: self, unknownForMs: 0 })
+    expect(await shard.claim({ service: 's', shard: 0, epoch: 3, claim }), 'another process may have granted keys under epoch 2').toEqual({ kind: 'unknown' })
+  })
+
+  it('are not taken over by a witness that has no whole copy', async () => {
+    const stored = { version: 1, layout: { shards: [{ epoch: 1, owner: peer, witness: self, unknownForMs: 0 }] } }
+    const node = new ClaimNode({
+      service: 's',
+      self,
+      shards: 1,
+      retentionMs: 1000,
+      limit: 10,
+      ports: {
+        nowMs: () => 0,
+        send: async () => undefined,
+        read: async () => stored,
+        write: async () => ({ kind: 'written', version: 2 }),
+        processes: () => [self],
+        isGone: async () => false,
+        onChange: () => {}
+      }
+    })
+    expect(await node.takeOver(0, 1)).toBe(false)
+    node.replicate({ service: 's', shard: 0, epoch: 1, claims: [], isComplete: true, unknownForMs: 0 })
+    expect(await node.takeOver(0, 1)).toBe(true)
+  })
+
   it('go on after every single fault, so that bookings do not stop', async () => {
     for (const fail of [(world: World, id: string) => world.crash(id), (world: World, id: string) => world.cut(id, 60_000), (world: World, id: string) => world.pause(id, 60_000)]) {
       for (const role of ['owner', 'witness'] as const) {
