--- a/packages/endpoint/src/node/slicesPlugin.ts
+++ b/packages/endpoint/src/node/slicesPlugin.ts
@@ -1,9 +1,9 @@
 /** Entries and fences of slices: reads `fences` before the first call and asks holders about old entries. */
 import { definePlugin, type Log, type Plugin, type TimerService } from '@buckthorndrift/kernel'
 import {
-  documentsKey, fencesObject, fencesSchema, membershipKey, objectStoreKey, type Documents, type Membership, type ObjectStore
+  documentsKey, membershipKey, objectStoreKey, type Documents, type Membership, type ObjectStore
 } from '@buckthorndrift/platform'
-import { handoverName, type StoredHandover } from '@buckthorndrift/policy'
+import { fencesName, fencesSchema, handoverName, type StoredHandover } from '@buckthorndrift/policy'
 import type { EndpointSettings } from '../shared/endpointSettings.ts'
 import { controlPartsKey, peersKey, type Peers } from '../shared/services.ts'
 import type { Gate } from './gate.ts'
@@ -34,7 +34,7 @@
 /** Opens the gate once the fences are known; without the platform calls stay refused. */
 async function readFences (parts: Parts): Promise<void> {
   const { gate, documents, log, timers } = parts
-  const fences = await documents.refresh(fencesObject)
+  const fences = await documents.refresh(fencesName)
   if (fences.isErr()) {
     log.event('fencesUnread', { detail: fences.error.kind })
     timers.after(fenceRetryMs, () => { readFences(parts) })
@@ -90,7 +90,7 @@
         forget: async ({ holder }) => { gate.entries.forget(holder) }
       })
       const stops = [
-        parts.documents.subscribe(fencesObject, ({ value }) => { applyFences(gate, value) }),
+        parts.documents.subscribe(fencesName, ({ value }) => { applyFences(gate, value) }),
         timers.every(settings.entryQueryMs / 4, () => { askHolders(parts, settings.entryQueryMs) })
       ]
       return {
--- a/packages/policy/src/shared/slices/storedSlices.ts
+++ b/packages/policy/src/shared/slices/storedSlices.ts
@@ -1,6 +1,13 @@
-/** Stored object with the entries that a leaving endpoint process hands over. */
+/** Stored objects about fences and about entries that a leaving endpoint process hands over. */
 import { z } from 'zod'
 
+/** Name of the document with the fenced holders. */
+export const fencesName = 'fences'
+
+/** Value of `fences`: holders whose slices are being or were closed. */
+export const fencesSchema = z.object({ holders: z.array(z.string()).readonly() }).readonly()
+export type StoredFences = z.infer<typeof fencesSchema>
+
 /** Prefix of the objects of endpoint processes that have left. */
 export const handoverPrefix = 'handovers/'
 
