--- a/packages/endpoint/src/node/slicesPlugin.ts
+++ b/packages/endpoint/src/node/slicesPlugin.ts
@@ -1,6 +1,8 @@
 /** Entries and fences of slices: reads `fences` before the first call and asks holders about old entries. */
 import { definePlugin, type Log, type Plugin, type TimerService } from '@buckthorndrift/kernel'
-import { documentsKey, membershipKey, objectStoreKey, type Documents, type Membership, type ObjectStore } from '@buckthorndrift/platform'
+import {
+  documentsKey, membershipKey, objectStoreKey, type Documents, type Membership, type ObjectStore
+} from '@buckthorndrift/platform'
 import { fencesName, fencesSchema, handoverName, type StoredHandover } from '@buckthorndrift/policy'
 import type { EndpointSettings } from '../shared/endpointSettings.ts'
 import { controlPartsKey, peersKey, type Peers } from '../shared/services.ts'
