Wait for crash reports before a failed content runs again

Cause: an endpoint process reports a crash of its back end after it has answered the failed requests. A caller that sends the content again at once could reach a third back end before the second report.

Ruled out: counting failures at the router as crashes. A version that breaks connections would make the router refuse innocent contents.

Change: a content whose last request failed at a back end waits up to 250 ms before it is forwarded again. A caller that goes while it is attached to another request's answer no longer keeps the stream open.

Conclusion: with reports 50 ms late two endpoints see the content, as wanted; routers that do not know of the failure still depend on the report.

--- a/packages/router/src/node/__tests__/routerRig.ts
+++ b/packages/router/src/node/__tests__/routerRig.ts
@@ -1,7 +1,7 @@
 /** A router's caller path on real sockets with fakes for the services of other plug-ins. */
 import { randomBytes } from 'node:crypto'
 import { Err, Ok } from 'ts-results-es'
-import { createTracing, definePlugin, silentLog, silentMetrics, startKernel, SystemTimers, type Kernel } from '@buckthorndrift/kernel'
+import { createTracing, definePlugin, silentLog, silentMetrics, startKernel, SystemTimers, type Kernel, type Tracing } from '@buckthorndrift/kernel'
 import { documentsKey, membershipKey, objectStoreKey, type Documents, type Membership, type ObjectStore, type StoredObject } from '@buckthorndrift/platform'
 import type { Failure, FleetConfig } from '@buckthorndrift/policy'
 import type { BillingRecord, Member } from '@buckthorndrift/protocol'
@@ -72,10 +72,11 @@
   readonly endpoints: readonly FakeEndpoint[]
   readonly settings?: Partial<CallerSettings>
   readonly routers?: readonly Member[]
+  readonly tracing?: Tracing
 }
 
 /** Starts the plug-ins of the caller path. */
-export async function startRig ({ endpoints, settings = {}, routers = [] }: RigOptions): Promise<Rig> {
+export async function startRig ({ endpoints, settings = {}, routers = [], tracing = createTracing({ serviceName: 'router' }) }: RigOptions): Promise<Rig> {
   const { documents, store, objects } = fakePlatform()
   const owner = endpoints[0]?.member
   const ref = owner === undefined ? undefined : { id: owner.id, incarnation: owner.incarnation, url: owner.controlUrl }
@@ -149,7 +150,7 @@
     plugins: [
       fakes,
       controlPlugin({ fleetSecret: options.fleetSecret, listener: { kind: 'own', host: options.host, port: options.port, onListening: port => { ports.control = port } } }),
-      callerPlugin({ ...options, settings, random: Math.random, tracing: createTracing({ serviceName: 'router' }), onListening: port => { ports.caller = port } })
+      callerPlugin({ ...options, settings, random: Math.random, tracing, onListening: port => { ports.caller = port } })
     ]
   })
   return Object.assign(rig, {
--- a/packages/router/src/node/forward/__tests__/crashes.test.ts
+++ b/packages/router/src/node/forward/__tests__/crashes.test.ts
@@ -61,6 +61,23 @@
     expect(rig.settled).toEqual([{ seq: 1, tokens: 20 }])
   })
 
+  it('waits for the report about a failed back end before it sends the same content to a third one', async () => {
+    await start(4)
+    const client = createRouterClient({ url: rig.controlUrl, fleetSecret: 'secret', timeoutMs: 1000 })
+    for (const [crash, endpoint] of opened.entries()) {
+      endpoint.script = ({ call, response }) => {
+        refuse(response, 'backEndFailed', 'mayHaveRun', 502)
+        // The endpoint process reports after it has answered.
+        setTimeout(() => {
+          client.evidence.reportCrash.mutate({ endpointId: `e${crash}`, incarnation: '1', crash: 0, contentHashes: [call.contentHash] })
+        }, 50)
+      }
+    }
+    const statuses: number[] = []
+    for (let index = 0; index < 4; index++) statuses.push((await book('text')).status)
+    expect(statuses).toEqual([502, 502, 422, 422])
+  })
+
   it('takes the reports of endpoint processes, counts a repeated report once, and stores the evidence', async () => {
     await start(1)
     const client = createRouterClient({ url: rig.controlUrl, fleetSecret: 'secret', timeoutMs: 1000 })
--- a/packages/router/src/node/forward/crashWatch.ts
+++ b/packages/router/src/node/forward/crashWatch.ts
@@ -1,4 +1,5 @@
 /** Requests of this router that are running, by endpoint, and the crash evidence they give. */
+import { LRUCache } from 'lru-cache'
 import { CrashEvidence } from '@buckthorndrift/policy'
 import type { TimerService } from '@buckthorndrift/kernel'
 import type { CrashReportInput, Member } from '@buckthorndrift/protocol'
@@ -9,11 +10,17 @@
 /** Number of the crash in reports of a process death, above those that an endpoint process gives to its back end's. */
 const processDeath = 2 ** 40
 
+/** Time in which the report of an endpoint process about its back end usually arrives. */
+const reportDelayMs = 250
+const maxFailures = 5000
+
 export class CrashWatch {
   readonly evidence = new CrashEvidence()
   readonly #timers: TimerService
   readonly #running = new Map<string, Map<string, string>>()
   readonly #deaths = new Set<string>()
+  /** Monotonic time in ms of the last failure at a back end, by content. */
+  readonly #failures = new LRUCache<string, number>({ max: maxFailures })
   /** Called when this router saw a process die. */
   onDeath: (report: CrashReportInput) => void = () => {}
   /** Called when a content was cleared. */
@@ -27,6 +34,17 @@
     return this.evidence.isSuspect(contentHash)
   }
 
+  /** Notes that a back end failed while it had the content; a report may follow that says whether it fell over. */
+  noteFailure (contentHash: string): void {
+    this.#failures.set(contentHash, this.#timers.monotonicMs())
+  }
+
+  /** Time in ms for which a content waits, so that a caller that sends it again is not faster than the report. */
+  waitMs (contentHash: string): number {
+    const failedMs = this.#failures.get(contentHash)
+    return failedMs === undefined ? 0 : Math.max(0, failedMs + reportDelayMs - this.#timers.monotonicMs())
+  }
+
   /** Notes that a request was sent to an endpoint; the returned function ends it. */
   begin (endpoint: Member, requestId: string, contentHash: string): () => void {
     const key = entryKey(endpoint)
@@ -60,6 +78,7 @@
 
   /** Notes that a content completed. */
   complete (contentHash: string): void {
+    this.#failures.delete(contentHash)
     if (this.evidence.clear(contentHash)) this.onCleared()
   }
 }
--- a/packages/router/src/node/forward/relay.ts
+++ b/packages/router/src/node/forward/relay.ts
@@ -39,6 +39,8 @@
   readonly #attemptNumber: number
   readonly #startedMs: number
   readonly #open = new Set<Attempt>()
+  /** Without a key nobody can come back for the answer. */
+  #isLeftWhenGone: boolean
   #isPastDeadline = false
 
   constructor (deps: RunDeps, plan: CallPlan, answer: AnswerSink, context: Context, attemptNumber: number) {
@@ -48,6 +50,7 @@
     this.#context = context
     this.#attemptNumber = attemptNumber
     this.#startedMs = deps.timers.monotonicMs()
+    this.#isLeftWhenGone = plan.keyHash === undefined
   }
 
   /** Sends the request to the place; `hedgePlace` names another one for a hedge. */
@@ -65,6 +68,8 @@
 
   /** Passes on the answer of a request that was sent before. */
   async attach (endpoint: Member, requestId: string): Promise<RelayEnd> {
+    // The router that sent the request reads its answer to the end.
+    this.#isLeftWhenGone = true
     const attempt = new Attempt(this.#deps.attempts, this.#requestFor(endpoint, requestId, {}))
     const head = await this.#guard(() => {
       this.#open.add(attempt)
@@ -83,7 +88,7 @@
       this.#isPastDeadline = true
       this.#abortAll()
     })
-    const stopGone = this.#plan.keyHash === undefined ? this.#answer.onGone(() => { this.#abortAll() }) : () => {}
+    const stopGone = this.#isLeftWhenGone ? this.#answer.onGone(() => { this.#abortAll() }) : () => {}
     try {
       return await open()
     } finally {
@@ -184,9 +189,8 @@
   async #relayBody (attempt: Attempt, head: UpstreamHead, requestId: string): Promise<AttemptEnd> {
     this.#answer.begin(head.status, headersForCaller(head.headers, requestId))
     this.#answer.onDrain(() => { attempt.resume() })
-    // The answer to a keyed request is read to its end, because the caller may come back for it.
-    const stopGone = this.#plan.keyHash === undefined ? this.#answer.onGone(() => { attempt.abort() }) : () => {}
-    if (this.#answer.isGone && this.#plan.keyHash === undefined) attempt.abort()
+    const stopGone = this.#isLeftWhenGone ? this.#answer.onGone(() => { attempt.abort() }) : () => {}
+    if (this.#answer.isGone && this.#isLeftWhenGone) attempt.abort()
     const end = await attempt.read(chunk => this.#answer.write(chunk))
     stopGone()
     attempt.close()
@@ -224,7 +228,10 @@
     if (failure.reason === 'endpointFull') this.#deps.book.noteFull(place.endpoint)
     if (failure.reason === 'endpointLeaving') this.#deps.book.noteLeaving(place.endpoint)
     if (failure.reason === 'backEndFailed' || failure.reason === 'endpointLost') this.#deps.book.noteFailure(place.endpoint)
-    if (failure.reason === 'backEndFailed' && failure.verdict.kind !== 'notRun') this.#observeFailure(place)
+    if (failure.reason === 'backEndFailed' && failure.verdict.kind !== 'notRun') {
+      this.#observeFailure(place)
+      this.#deps.crashes.noteFailure(this.#plan.contentHash)
+    }
     const isDeath = failure.verdict.kind !== 'notRun' && (failure.reason === 'backEndFailed' || error.isGone)
     return { kind: 'failed', failure, isDeath, settlement: error.settlement }
   }
--- a/packages/router/src/node/forward/requestRun.ts
+++ b/packages/router/src/node/forward/requestRun.ts
@@ -75,6 +75,8 @@
   }
 
   async run (): Promise<RunEnd> {
+    const waitMs = this.#deps.crashes.waitMs(this.#plan.contentHash)
+    if (waitMs > 0) await this.#wait(waitMs)
     if (this.#deps.crashes.isSuspect(this.#plan.contentHash)) {
       // An earlier request with the same key may be one of those that ran.
       return { kind: 'refused', failure: this.#plan.keyHash === undefined ? suspect : { ...suspect, verdict: mayHaveRun } }
