--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -21,3 +21,4 @@
 export { membershipKey, type Membership } from './shared/membership.ts'
 export * from './shared/budgets/index.ts'
 export * from './shared/records/index.ts'
+export * from './shared/claims/index.ts'
