Use the endpoint side's layout of claim shards

Cause: the router had its own assumption of claims/<service>.

Change: layout, shard of a key and schema come from policy and platform; the layout is parsed once per version.

Ruled out: keeping both, they would drift apart.

--- a/packages/router/src/node/__tests__/routerRig.ts
+++ b/packages/router/src/node/__tests__/routerRig.ts
@@ -3,7 +3,7 @@
 import { Err, Ok } from 'ts-results-es'
 import { createTracing, definePlugin, silentLog, silentMetrics, startKernel, SystemTimers, type Kernel, type Tracing } from '@buckthorndrift/kernel'
 import { documentsKey, membershipKey, objectStoreKey, type Documents, type Membership, type ObjectStore, type StoredObject } from '@buckthorndrift/platform'
-import type { Failure, FleetConfig } from '@buckthorndrift/policy'
+import type { ClaimLayout, ClaimProcess, Failure, FleetConfig } from '@buckthorndrift/policy'
 import type { BillingRecord, Member } from '@buckthorndrift/protocol'
 import {
   budgetServiceKey, callerPlugin, configServiceKey, controlPlugin, recordServiceKey, versionServiceKey,
@@ -28,6 +28,12 @@
   }
 }
 
+/** Layout with one shard of idempotency keys. */
+export function claimLayout (owner: Member, witness: Member, epoch: number): ClaimLayout {
+  const processOf = ({ id, incarnation, controlUrl, vm, failureDomain }: Member): ClaimProcess => ({ id, incarnation, url: controlUrl, vm, failureDomain })
+  return { shards: [{ epoch, owner: processOf(owner), witness: processOf(witness), unknownForMs: 0 }] }
+}
+
 /** Documents and object store of one process in memory. */
 function fakePlatform (): { documents: Documents, store: ObjectStore, objects: Map<string, StoredObject> } {
   const objects = new Map<string, StoredObject>()
@@ -79,8 +85,7 @@
 export async function startRig ({ endpoints, settings = {}, routers = [], tracing = createTracing({ serviceName: 'router' }) }: RigOptions): Promise<Rig> {
   const { documents, store, objects } = fakePlatform()
   const owner = endpoints[0]?.member
-  const ref = owner === undefined ? undefined : { id: owner.id, incarnation: owner.incarnation, url: owner.controlUrl }
-  objects.set('claims/desk', { name: 'claims/desk', version: 1, value: { shards: [{ owner: ref, witness: ref, epoch: 1 }] } })
+  if (owner !== undefined) objects.set('claims/desk', { name: 'claims/desk', version: 1, value: claimLayout(owner, owner, 1) })
   const ports = { caller: 0, control: 0 }
   const listeners = new Set<() => void>()
   const self: Member = {
--- a/packages/router/src/node/forward/__tests__/claims.test.ts
+++ b/packages/router/src/node/forward/__tests__/claims.test.ts
@@ -1,7 +1,7 @@
 import { afterEach, describe, expect, it } from 'vitest'
 import type { ClaimInput, ClaimOutput } from '@buckthorndrift/protocol'
 import { answer, FakeEndpoint, refuse } from '../../__tests__/fakeEndpoint.ts'
-import { callerHeaders, startRig, type Rig } from '../../__tests__/routerRig.ts'
+import { callerHeaders, claimLayout, startRig, type Rig } from '../../__tests__/routerRig.ts'
 
 describe('idempotency keys', () => {
   const opened: FakeEndpoint[] = []
@@ -93,11 +93,10 @@
       const owner = new FakeEndpoint('e1', { service: 'other' })
       const witness = new FakeEndpoint('e2')
       await start([owner, witness])
-      const refs = [owner, witness].map(({ member }) => ({ id: member.id, incarnation: member.incarnation, url: member.controlUrl }))
-      const layout = (ownerIndex: number, epoch: number): void => {
-        rig.objects.set('claims/desk', { name: 'claims/desk', version: epoch, value: { shards: [{ owner: refs[ownerIndex], witness: refs[1], epoch }] } })
+      const layout = (present: FakeEndpoint, epoch: number): void => {
+        rig.objects.set('claims/desk', { name: 'claims/desk', version: epoch, value: claimLayout(present.member, witness.member, epoch) })
       }
-      layout(0, 1)
+      layout(owner, 1)
       takeOvers = 0
       const { claim } = witness.claims
       witness.claims = {
@@ -106,7 +105,7 @@
         takeOver: async () => {
           takeOvers += 1
           if (!isTakeOverPossible) throw new Error('the platform is down')
-          layout(1, 2)
+          layout(witness, 2)
         }
       }
       await owner.kill()
--- a/packages/router/src/node/forward/claimClient.ts
+++ b/packages/router/src/node/forward/claimClient.ts
@@ -1,9 +1,8 @@
 /** Claims idempotency keys at the endpoint process that owns their shard. */
 import { LRUCache } from 'lru-cache'
-import type { Documents, Membership } from '@buckthorndrift/platform'
-import { mayHaveRun, notRun, type Failure } from '@buckthorndrift/policy'
+import { claimLayoutOf, claimsName, type Documents, type Membership } from '@buckthorndrift/platform'
+import { findClaimPlace, mayHaveRun, notRun, type ClaimLayout, type ClaimPlace, type Failure } from '@buckthorndrift/policy'
 import { createEndpointClient, type Claim, type ClaimOutput, type EndpointClient, type EndpointRef } from '@buckthorndrift/protocol'
-import { claimLayoutOf, shardOfKey, type ClaimShard } from './claimLayout.ts'
 import type { ClaimAnswer, ClaimService } from './runDeps.ts'
 
 export interface ClaimClientOptions {
@@ -31,6 +30,7 @@
 export class ClaimClient implements ClaimService {
   readonly #options: ClaimClientOptions
   readonly #clients: LRUCache<string, EndpointClient>
+  readonly #layouts = new Map<string, { readonly version: number, readonly layout: ClaimLayout | undefined }>()
 
   constructor (options: ClaimClientOptions) {
     this.#options = options
@@ -40,18 +40,16 @@
 
   async claim (service: string, claim: Claim, replaces?: string): Promise<ClaimAnswer> {
     for (let round = 0; round < maxRounds; round++) {
-      const layout = claimLayoutOf(this.#options.documents.get(`claims/${service}`)?.value)
-      if (layout === undefined) {
+      const layout = this.#layoutOf(service)
+      const place = layout === undefined ? undefined : findClaimPlace(layout, claim.keyHash)
+      if (place === undefined) {
         await this.#refresh(service)
         continue
       }
-      const shard = shardOfKey(claim.keyHash, layout.shards.length)
-      const place = layout.shards[shard]
-      if (place === undefined) break
-      const output = await this.#askOwner(service, shard, place, claim, replaces)
+      const output = await this.#askOwner(service, place, claim, replaces)
       if (output !== undefined && output.kind !== 'notOwner') return answerOf(output)
       if (output === undefined) {
-        const answer = await this.#askWitness(service, shard, place, claim, replaces)
+        const answer = await this.#askWitness(service, place, claim, replaces)
         if (answer !== undefined) return answer
       }
       await this.#refresh(service)
@@ -61,27 +59,27 @@
   }
 
   /** `undefined` when the owner does not answer. */
-  async #askOwner (service: string, shard: number, place: ClaimShard, claim: Claim, replaces?: string): Promise<ClaimOutput | undefined> {
+  async #askOwner (service: string, place: ClaimPlace, claim: Claim, replaces?: string): Promise<ClaimOutput | undefined> {
     if (this.#options.membership.isSuspected(place.owner.id)) return undefined
-    return this.#ask(place.owner, service, shard, place.epoch, claim, replaces)
+    return this.#ask(place.owner, service, place, claim, replaces)
   }
 
   /** Asks the witness to take over; `undefined` when the layout has to be read again. */
-  async #askWitness (service: string, shard: number, place: ClaimShard, claim: Claim, replaces?: string): Promise<ClaimAnswer | undefined> {
-    const { witness, epoch } = place
+  async #askWitness (service: string, place: ClaimPlace, claim: Claim, replaces?: string): Promise<ClaimAnswer | undefined> {
+    const { witness, shard, epoch } = place
     if (witness === undefined) return unavailable(false)
     try {
       await this.#client(witness).claims.takeOver.mutate({ service, shard, epoch })
       return undefined
     } catch {
       // While the platform is down nobody takes over; the witness still knows whether the key was claimed.
-      const output = await this.#ask(witness, service, shard, epoch, claim, replaces)
+      const output = await this.#ask(witness, service, place, claim, replaces)
       if (output === undefined || output.kind === 'notOwner') return unavailable(false)
       return answerOf(output)
     }
   }
 
-  async #ask (endpoint: EndpointRef, service: string, shard: number, epoch: number, claim: Claim, replaces?: string): Promise<ClaimOutput | undefined> {
+  async #ask (endpoint: EndpointRef, service: string, { shard, epoch }: ClaimPlace, claim: Claim, replaces?: string): Promise<ClaimOutput | undefined> {
     try {
       return await this.#client(endpoint).claims.claim.mutate({
         service, shard, epoch, claim, ...(replaces === undefined ? {} : { replaces })
@@ -96,8 +94,19 @@
     return this.#clients.memo(endpoint.url)
   }
 
+  /** The layout in force; parsed once per version. */
+  #layoutOf (service: string): ClaimLayout | undefined {
+    const document = this.#options.documents.get(claimsName(service))
+    if (document === undefined) return undefined
+    const known = this.#layouts.get(service)
+    if (known?.version === document.version) return known.layout
+    const layout = claimLayoutOf(document.value)
+    this.#layouts.set(service, { version: document.version, layout })
+    return layout
+  }
+
   async #refresh (service: string): Promise<void> {
-    await this.#options.documents.refresh(`claims/${service}`)
+    await this.#options.documents.refresh(claimsName(service))
   }
 }
 
