Test that every event of the catalogue is logged somewhere

An event that nothing logs sends an operator looking for it in vain. The test searches the sources for each name, and compares the number of entries in the files of the catalogue with the merged one, since an event of the same name in a second file would hide the first.

--- /dev/null
+++ b/packages/cli/src/node/__tests__/eventUse.test.ts
@@ -0,0 +1,26 @@
+import { readdirSync, readFileSync } from 'node:fs'
+import { join } from 'node:path'
+import { fileURLToPath } from 'node:url'
+import { describe, expect, it } from 'vitest'
+import { eventCatalogue } from '@buckthorndrift/kernel'
+
+const root = fileURLToPath(new URL('../../../../../', import.meta.url))
+
+/** Sources of all packages without tests and without the catalogues themselves. */
+function sources (): string {
+  const files = readdirSync(join(root, 'packages'), { recursive: true, encoding: 'utf8' })
+  const wanted = files.filter(file => /^[a-z]+\/src\/.*\.ts$/.test(file) && !file.includes('__tests__') && !/(event|metric)Catalogue\.ts$/.test(file))
+  return wanted.map(file => readFileSync(join(root, 'packages', file), 'utf8')).join('\n')
+}
+
+describe('event catalogue', () => {
+  it('loses no event to another one of the same name in a second file', () => {
+    const directory = join(root, 'packages/kernel/src/shared/events')
+    const text = readdirSync(directory).map(file => readFileSync(join(directory, file), 'utf8')).join('\n')
+    expect(Object.keys(eventCatalogue)).toHaveLength([...text.matchAll(/\{ number: \d+,/g)].length)
+  })
+  it('lists no event that nothing logs, which would send an operator looking for it in vain', () => {
+    const text = sources()
+    expect(Object.keys(eventCatalogue).filter(name => !text.includes(`'${name}'`))).toEqual([])
+  })
+})
--- a/packages/kernel/src/shared/events/kernelEvents.ts
+++ b/packages/kernel/src/shared/events/kernelEvents.ts
@@ -5,7 +5,7 @@
   processStarted: { number: 1000, level: 'info', message: 'process started', action: 'none' },
   processDraining: { number: 1001, level: 'info', message: 'graceful shutdown started', action: 'none' },
   processStopped: { number: 1002, level: 'info', message: 'process stopped', action: 'none' },
-  taskFailed: { number: 1003, level: 'error', message: 'task failed to handle a message', action: 'Report the error text; the process goes on.' },
+  // 1003 belonged to an event that nothing logged.
   drainTimedOut: { number: 1004, level: 'warn', message: 'graceful shutdown exceeded its time limit', action: 'Raise the drain limit if streams need longer.' },
   settingsRejected: { number: 1005, level: 'error', message: 'settings are invalid', action: 'Correct the named settings and start again.' }
 } as const satisfies EventDefinitions
