Size slices by flush time and search for slices of vanished routers

Two causes: the collector took all that was left from 60 % of a small budget on, and the router whose duty the reclaim was did not know of slices in shards it never read, so that the 30 s fallback applied.

Change: the end is near at one target and no longer at two; a router that misses a registered router reads all shards once, if the reclaim is its duty; anyone reclaims after 10 s. Slices aim at 25 s of spend, so that flushes refill them. A recalled holder returns later remainders within a second, and a collector that knows of other slices asks again each second instead of each 8 s.

--- a/packages/bench/src/node/budget/ledgerPolicy.ts
+++ b/packages/bench/src/node/budget/ledgerPolicy.ts
@@ -1,6 +1,6 @@
 /** The chosen policy: the real holders, placement and reclaim on the simulated fleet. */
 import {
-  defaultReclaimLimits, HolderReclaim, homesOf, rankCandidates, routesFor, ShardHolder, shardOf, SpendRate,
+  defaultReclaimLimits, HolderReclaim, holdersOf, homesOf, rankCandidates, routesFor, ShardHolder, shardOf, SpendRate,
   type BudgetLimits, type FenceEntry, type HolderEffect, type Homes, type ReclaimEffect, type ReserveAnswer
 } from '@buckthorndrift/policy'
 import type { FleetModel, Place, RunningRequest } from './fleetModel.ts'
@@ -11,6 +11,7 @@
 const callTimeoutMs = 500
 const suspectMs = 5000
 const lostAfterMs = 3000
+const anyoneAfterMs = 10_000
 const maxAttempts = 3
 
 interface Demand {
@@ -24,6 +25,7 @@
   readonly suspected = new Map<string, number>()
   readonly demands = new Map<string, Demand>()
   readonly homes = new Map<number, { readonly homes: Homes, readonly untilMs: number }>()
+  readonly scanned = new Set<string>()
   readonly reclaims = new Map<string, { readonly reclaim: HolderReclaim, readonly sinceMs: number }>()
   readonly lost = new Map<string, { sinceMs: number, readonly shards: Set<number> }>()
 
@@ -207,11 +209,30 @@
       holder.setCollector(this.#homesOf(router, shard).collector === router.place.id)
       this.#carryOut(router, shard, holder.tick(this.#nowMs))
     }
+    this.#scanVanished(router)
     for (const [holder, lost] of router.lost) this.#reclaimIfDue(router, holder, lost)
     for (const { reclaim } of router.reclaims.values()) this.#carryOutReclaim(router, reclaim, reclaim.tick(this.#nowMs))
     this.#fleet.events.after(tickMs, () => { this.#tick(router) })
   }
 
+  /** The router whose duty a vanished holder is looks for its slices in all shards. */
+  #scanVanished (router: LedgerRouter): void {
+    for (const holder of this.#fleet.unregistered) {
+      if (router.scanned.has(holder) || !this.#isOwnDuty(router, holder)) continue
+      router.scanned.add(holder)
+      for (let shard = 0; shard < this.#fleet.options.shards; shard++) {
+        this.#fleet.read(shard, outcome => {
+          if (outcome.kind === 'read' && holdersOf(outcome.shard).has(holder)) this.#noteHolders(router, shard, [holder])
+        })
+      }
+    }
+  }
+
+  #isOwnDuty (router: LedgerRouter, holder: string): boolean {
+    const reachable = this.#fleet.places.filter(({ id }) => !this.#fleet.unregistered.has(id) && (router.suspected.get(id) ?? 0) <= this.#nowMs)
+    return rankCandidates(holder, reachable.map(({ id }) => id))[0] === router.place.id
+  }
+
   #noteHolders (router: LedgerRouter, shard: number, holders: readonly string[]): void {
     for (const holder of holders) {
       if (!this.#fleet.unregistered.has(holder)) continue
@@ -223,9 +244,7 @@
 
   #reclaimIfDue (router: LedgerRouter, holder: string, lost: { readonly sinceMs: number, readonly shards: ReadonlySet<number> }): void {
     if (router.reclaims.has(holder) || this.#nowMs - lost.sinceMs < lostAfterMs) return
-    const reachable = this.#fleet.places.filter(({ id }) => !this.#fleet.unregistered.has(id) && (router.suspected.get(id) ?? 0) <= this.#nowMs)
-    const isOwnDuty = rankCandidates(holder, reachable.map(({ id }) => id))[0] === router.place.id
-    if (!isOwnDuty && this.#nowMs - lost.sinceMs < 10 * lostAfterMs) return
+    if (!this.#isOwnDuty(router, holder) && this.#nowMs - lost.sinceMs < anyoneAfterMs) return
     const reclaim = new HolderReclaim({ holder, shards: this.#fleet.options.shards, limits: defaultReclaimLimits, nowMs: this.#nowMs, firstShards: [...lost.shards] })
     router.reclaims.set(holder, { reclaim, sinceMs: this.#nowMs })
     this.#carryOutReclaim(router, reclaim, reclaim.start())
--- a/packages/policy/src/shared/budget/judge.ts
+++ b/packages/policy/src/shared/budget/judge.ts
@@ -39,9 +39,10 @@
   const tokens = (entry === undefined ? 0 : freeTokens(entry)) + Math.max(0, held.idleTokens)
   if (waiting.tokens <= tokens || held.isRecalling) return { kind: 'wait' }
   const isKnownNews = tokens > held.refusedTokens
-  const refuseWithinMs = isKnownNews ? 0 : held.refuseWithinMs
-  if (input.asOfMs + refuseWithinMs < waiting.arrivedMs) return { kind: 'read' }
   const others = othersOf(input)
+  const longestMs = others.length > 0 ? limits.recallMs : limits.exhaustedMs
+  const refuseWithinMs = isKnownNews ? 0 : Math.min(longestMs, held.refuseWithinMs)
+  if (input.asOfMs + refuseWithinMs < waiting.arrivedMs) return { kind: 'read' }
   if (input.isCollector && others.length > 0 && input.nowMs >= held.nextRecallMs) {
     return { kind: 'recall', holders: others.map(slice => slice.holder) }
   }
--- a/packages/policy/src/shared/budget/limits.ts
+++ b/packages/policy/src/shared/budget/limits.ts
@@ -3,7 +3,12 @@
 export interface BudgetLimits {
   /** Longest time between two writes of a shard with changes. */
   readonly flushMs: number
-  /** Time of spend that a slice aims to hold, so that most draws happen at a flush and not while a caller waits. */
+  /**
+   * Time of spend that a slice aims to hold. Longer than `flushMs`, so that a
+   * slice is refilled by flushes alone. At 20 s a large budget cost 1.4 times
+   * the writes and at 8 s twice; in a partition those had 8 % and 33 % fewer
+   * false refusals.
+   */
   readonly targetMs: number
   /** Time constant of the measured rate of spend. */
   readonly rateWindowMs: number
@@ -39,12 +44,12 @@
 
 export const defaultBudgetLimits: BudgetLimits = {
   flushMs: 15_000,
-  targetMs: 20_000,
+  targetMs: 25_000,
   rateWindowMs: 10_000,
   collectorRequests: 64,
   collectorShare: 0.25,
   holderShare: 0.125,
-  nearEndFactor: 2,
+  nearEndFactor: 1,
   lowShare: 0.25,
   lowWriteMs: 1000,
   surplusFactor: 2,
--- a/packages/policy/src/shared/budget/sizing.ts
+++ b/packages/policy/src/shared/budget/sizing.ts
@@ -54,6 +54,6 @@
   if (!needs.isCollector) return Math.min(wantedTokens, Math.floor(needs.leftTokens * limits.holderShare))
   const isNearEnd = needs.leftTokens <= limits.nearEndFactor * wantedTokens * (1 + needs.otherSlices)
   if (isNearEnd) return needs.leftTokens
-  const collectorTokens = Math.max(wantedTokens, limits.collectorRequests * needs.largestTokens)
-  return Math.min(collectorTokens, Math.floor(needs.leftTokens * limits.collectorShare))
+  const spareTokens = Math.min(limits.collectorRequests * needs.largestTokens, Math.floor(needs.leftTokens * limits.collectorShare))
+  return Math.max(wantedTokens, spareTokens)
 }
--- a/packages/policy/src/shared/budget/writePlan.ts
+++ b/packages/policy/src/shared/budget/writePlan.ts
@@ -45,7 +45,7 @@
 }
 
 /** Idle tokens that the holder aims to have of a budget. */
-export function targetOf (input: PlanInput, entry: BudgetEntry, held: HeldBudget, leftTokens: number): number {
+function targetOf (input: PlanInput, entry: BudgetEntry, held: HeldBudget, leftTokens: number): number {
   return sliceTarget({
     tokensPerSecond: held.rate.tokensPerSecond(input.nowMs),
     largestTokens: held.largestTokens,
@@ -80,7 +80,8 @@
   }
   const isSurplus = idleTokens > targetTokens * limits.surplusFactor
   const isTopUpUseful = idleTokens < targetTokens
-  if (isSurplus) return { change: capFor(targetTokens), urgency: 'flush' }
+  // After a recall the remainders of settled reservations are wanted elsewhere.
+  if (isSurplus) return { change: capFor(targetTokens), urgency: nowMs < held.tightUntilMs ? 'soon' : 'flush' }
   // A flush for another reason refills the slice as well.
   return { change: isTopUpUseful ? capFor(targetTokens) : change(held.usableCapTokens), urgency: undefined }
 }
--- a/packages/router/src/node/budget/__tests__/fleet.test.ts
+++ b/packages/router/src/node/budget/__tests__/fleet.test.ts
@@ -191,4 +191,14 @@
     await expect.poll(() => forgotten, { timeout: 5000 }).toContain(`${home}.a`)
     expect((await budgets.reserve('b1', 800, 2000)).isOk()).toBe(true)
   })
+  it('reclaims slices of a dead home although nobody asks for its budgets', async () => {
+    const { store } = await start()
+    const home = testFleet.collectorOf('b1')
+    const { reservation } = (await testFleet.otherThan(home).budgets.reserve('b1', 300, 2000)).unwrap()
+    testFleet.entries = [{ shard: reservation.shard, budget: 'b1', seq: reservation.seq, state: 'settled', tokens: 30 }]
+    // The others have to see the router before they can miss it.
+    await new Promise(resolve => { setTimeout(resolve, 1500) })
+    await testFleet.kill(home)
+    await expect.poll(async () => (await readBudget(store, 'b1')).unwrap(), { timeout: 20_000 }).toMatchObject({ spentTokens: 30, heldTokens: 0 })
+  })
 })
--- a/packages/router/src/node/budget/plugin.ts
+++ b/packages/router/src/node/budget/plugin.ts
@@ -1,6 +1,6 @@
 /** Plugin of a router: reservations of tokens for the caller path, and the `budget` control handlers. */
 import { definePlugin, type Plugin, type PluginContext } from '@buckthorndrift/kernel'
-import { defaultBudgetLimits, defaultReclaimLimits, type BudgetLimits, type ReclaimLimits } from '@buckthorndrift/policy'
+import { defaultBudgetLimits, defaultReclaimLimits, holdersOf, type BudgetLimits, type ReclaimLimits } from '@buckthorndrift/policy'
 import { documentsKey, membershipKey, objectStoreKey } from '@buckthorndrift/platform'
 import { budgetServiceKey, controlRegistryKey } from '../../shared/services.ts'
 import { BudgetHome } from './budgetHome.ts'
@@ -9,6 +9,7 @@
 import { LostHolders } from './lostHolders.ts'
 import { PeerCalls } from './peerCalls.ts'
 import { ReclaimRunner } from './reclaimRunner.ts'
+import { readShard } from './shardCalls.ts'
 import { Settlements } from './settlements.ts'
 
 export interface BudgetPluginOptions {
@@ -62,7 +63,20 @@
       onDone: () => { reclaims.delete(holder) }
     }))
   }
-  const lostHolders = new LostHolders({ membership, ownHolder: () => home.holder, reclaim: (holder, shards) => { start(holder, shards).catch(() => {}) } })
+  const scan = async () => {
+    const shards = await routes.shardCount() ?? 0
+    // One after the other, which keeps the reads of a large layout within the platform's limits.
+    for (let shard = 0; shard < shards; shard++) {
+      const outcome = await readShard(context.use(objectStoreKey), context.log, shard)
+      if (outcome.kind === 'read') lostHolders.note(shard, [...holdersOf(outcome.shard)])
+    }
+  }
+  const lostHolders = new LostHolders({
+    membership,
+    ownHolder: () => home.holder,
+    reclaim: (holder, firstShards) => { start(holder, firstShards).catch(() => {}) },
+    scan: () => { scan().catch(() => {}) }
+  })
   home.watchHolders(lostHolders)
   return context.timers.every(lostTickMs, () => {
     losses.look(membership, context.timers.monotonicMs())
