--- a/packages/bench/src/node/soak/budgetWorld.ts
+++ b/packages/bench/src/node/soak/budgetWorld.ts
@@ -47,7 +47,10 @@
   #incarnations = 0
   #joined = 0
 
+  readonly #routerIds: readonly string[]
+
   constructor (options: WorldOptions) {
+    this.#routerIds = options.routers
     this.shards = options.shards
     this.budgets = Object.keys(options.budgets)
     for (const id of options.endpoints) this.joinEndpoint(id)
@@ -62,6 +65,11 @@
     }
   }
 
+  /** Router at which the reservations of a shard concentrate. */
+  collectorOf (shard: number): string | undefined {
+    return this.#routerIds[shard % this.#routerIds.length]
+  }
+
   startRouter (id: string): void {
     this.network.setSilent(id, false)
     this.routers.set(id, new ModelRouter(id, `i${++this.#incarnations}`, this))
--- a/packages/bench/src/node/soak/modelRouter.ts
+++ b/packages/bench/src/node/soak/modelRouter.ts
@@ -154,7 +154,8 @@
     const present = this.#holders.get(shard)
     if (present !== undefined) return present
     const holder = new ShardHolder({ holder: this.holder, limits: modelLimits, nowMs: this.#world.nowMs })
-    holder.setCollector(true)
+    // One router per shard recalls and takes what is left; the others give back.
+    holder.setCollector(this.#world.collectorOf(shard) === this.id)
     if (this.isDraining) holder.drain(this.#world.nowMs)
     this.#holders.set(shard, holder)
     return holder
