Serve calls without the h3 adapter

Change: the listener passes requests with bd-call to the gate directly; attach and control stay with h3.

--- a/packages/endpoint/src/node/listener.ts
+++ b/packages/endpoint/src/node/listener.ts
@@ -45,9 +45,7 @@
 
 function appOf (handlers: ListenerHandlers, fleetSecret: string): NodeHandler {
   const control = createControlHandler(handlers.control, fleetSecret)
-  const call = untilClosed(handlers.call)
   const app = new H3()
-    .use(event => event.req.headers.has(callHeader) ? call(event) : undefined)
     .all('/attach/:requestId', untilClosed(handlers.attach))
     .all(`${controlPath}/**`, event => control(event.req))
   return toNodeHandler(app) as unknown as NodeHandler
@@ -55,11 +53,13 @@
 
 /** Opens the listener. Rejects when the address is taken. */
 export async function openListener (options: ListenerOptions): Promise<Listener> {
-  let app: NodeHandler | undefined
+  // Calls pass h3 by: they need no route, and its adapter ends each response a second time, which creates an error object.
+  let serving: { readonly app: NodeHandler, readonly call: NodeHandler } | undefined
   const server: Server = createServer({ keepAliveTimeout: keepAliveMs, requestTimeout: 0 }, (request, response) => {
     if (!hasFleetSecret(request.headers.authorization, options.fleetSecret)) refuse(response, 401)
-    else if (app === undefined) refuse(response, 503)
-    else app(request, response)
+    else if (serving === undefined) refuse(response, 503)
+    else if (request.headers[callHeader] !== undefined) serving.call(request, response)
+    else serving.app(request, response)
   })
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject)
@@ -68,7 +68,7 @@
   const { address, port, family } = server.address() as AddressInfo
   return {
     url: `http://${family === 'IPv6' ? `[${address}]` : address}:${port}`,
-    serve: handlers => { app = appOf(handlers, options.fleetSecret) },
+    serve: handlers => { serving = { app: appOf(handlers, options.fleetSecret), call: handlers.call } },
     close: () => new Promise(resolve => {
       server.close(() => { resolve() })
       server.closeAllConnections()
