Always hand over at leave; blame no request for one broken connection

Cause: a reclaim takes an endpoint process that vanishes without a handover for lost, so one that left without entries made slices count as wholly spent. A single broken connection counted as a crash of the back end and its content as evidence, which could refuse a good request as a crash suspect. Sequences of replaced routers stayed for good.

Change: the handover object is always written; a crash needs a failed probe or several requests that failed together; idle shards of holders are forgotten after an hour; an attach beyond the end is refused; fewer remembered ids.

Each has a test that failed before the change, except for the id limit.

--- a/packages/endpoint/src/node/__tests__/lifecycle.test.ts
+++ b/packages/endpoint/src/node/__tests__/lifecycle.test.ts
@@ -2,7 +2,7 @@
 import { afterEach, beforeEach, describe, expect, it } from 'vitest'
 import type { BillingRecord, CrashReportInput } from '@buckthorndrift/protocol'
 import type { Endpoint } from '../../index.ts'
-import { callOf, controlOf, FakePlatform, fakeRouter, listen, routerMember, send, startTestEndpoint, until, type TestServer } from './fixtures.ts'
+import { attach, callOf, controlOf, FakePlatform, fakeRouter, listen, routerMember, send, startTestEndpoint, until, type TestServer } from './fixtures.ts'
 
 describe('slices, records and shutdown', () => {
   let backEnd: TestServer
@@ -126,6 +126,30 @@
     expect(platform.members.map(({ id }) => id), 'deregistered').toEqual(['r1'])
   })
 
+  it('leaves a handover without entries too, or its absence would count as a loss', async () => {
+    await start()
+    await endpoint.kernel.stop()
+    expect(platform.objects.get(`handovers/e1.${endpoint.self.incarnation}`)?.value).toMatchObject({ holders: {} })
+  })
+
+  it('blames no request for a single broken connection while the back end answers', async () => {
+    await start()
+    const sending = send(endpoint, callOf(), { path: '/hold' })
+    await until(() => waiting.length === 1)
+    waiting.shift()!.socket!.destroy()
+    expect((await sending).headers['bd-verdict']).toBe('mayHaveRun')
+    expect((await send(endpoint, callOf())).status).toBe(200)
+    expect([reports, endpoint.gate.load().healthy]).toEqual([[], true])
+  })
+
+  it('refuses an attach beyond the end of an answer instead of ending it without a byte', async () => {
+    await start()
+    const call = callOf()
+    await send(endpoint, call)
+    expect(await attach(endpoint, call.requestId, 2)).toMatchObject({ status: 200, body: '' })
+    expect(await attach(endpoint, call.requestId, 3)).toMatchObject({ status: 409, headers: { 'bd-verdict': 'ran' } })
+  })
+
   it('reports a crash of the back end once, with what ran there', async () => {
     await start()
     const calls = [callOf(), callOf()]
--- a/packages/endpoint/src/node/answerWriter.ts
+++ b/packages/endpoint/src/node/answerWriter.ts
@@ -87,7 +87,8 @@
   function advance (): void {
     if (isDone) return
     if (answer.failure !== undefined) { finishWithFailure(answer.failure); return }
-    if (position < answer.base) { finishWithFailure(answerExpired); return }
+    const isBeyond = answer.settlement !== undefined && options.offset > answer.length
+    if (position < answer.base || isBeyond) { finishWithFailure(answerExpired); return }
     if (!response.headersSent && !sendHead()) return
     sendBody()
   }
--- a/packages/endpoint/src/node/backEndHealth.ts
+++ b/packages/endpoint/src/node/backEndHealth.ts
@@ -36,14 +36,16 @@
 
   /**
    * Looks into a failed request. The back end fell over when it does not
-   * answer a probe, or when everything that ran there failed at the same time:
-   * a restart can be faster than the probe.
+   * answer a probe, or when several requests ran there and all failed at the
+   * same time: a restart can be faster than the probe. One broken connection
+   * alone is no crash, or its content would be blamed for it.
    */
   async check (suspects: readonly Suspect[]): Promise<void> {
     if (this.#state !== 'up') return
     this.#state = 'checking'
     const isAnswering = await this.#options.probe()
-    if (isAnswering && !suspects.every(suspect => suspect.hasFailed())) {
+    const haveAllFailed = suspects.length > 1 && suspects.every(suspect => suspect.hasFailed())
+    if (isAnswering && !haveAllFailed) {
       this.#state = 'up'
       this.#options.onUp()
       return
--- a/packages/endpoint/src/node/run.ts
+++ b/packages/endpoint/src/node/run.ts
@@ -88,7 +88,7 @@
   /** Compares what the fastest reader has taken with the limit; pauses or resumes the back end. */
   balance (): void {
     const { answer, unread } = this.#options
-    const unreadBytes = this.#readers.size === 0 ? 0 : answer.length - this.#taken()
+    const unreadBytes = this.#readers.size === 0 ? 0 : Math.max(0, answer.length - this.#taken())
     unread.update(this.call.requestId, unreadBytes)
     const limit = unread.limitOf(this.call.requestId)
     if (unreadBytes > limit) this.#flow.pause()
--- a/packages/endpoint/src/node/slicesPlugin.ts
+++ b/packages/endpoint/src/node/slicesPlugin.ts
@@ -59,11 +59,14 @@
   }))
 }
 
-/** Writes the entries that no holder has flushed, so that a later reclaim finds them. */
+/**
+ * Writes the entries that no holder has flushed, so that a later reclaim finds
+ * them. Without entries the object still shows that nothing is missing: a
+ * process that vanishes without one makes a reclaim count slices wholly.
+ */
 async function handOverEntries (parts: Parts): Promise<void> {
   await askHolders(parts, 0)
   const { gate, settings, incarnation, store, log } = parts
-  if (gate.entries.size === 0) return
   const value: StoredHandover = { endpointId: settings.id, incarnation, holders: Object.fromEntries(gate.entries.all()) }
   const written = await store.write(handoverName(settings.id, incarnation), value, 0)
   if (written.isErr()) log.event('handoverFailed', { what: 'entries', count: gate.entries.size, detail: written.error.kind })
--- a/packages/endpoint/src/shared/requestTable.ts
+++ b/packages/endpoint/src/shared/requestTable.ts
@@ -33,7 +33,8 @@
   | { readonly kind: 'malformed' }
 
 const defaultIdRetentionMs = 600_000
-const defaultIdsLimit = 50_000
+/** An ordinary load is some 4000 ids in the retention time; a flood of refusals may use some 10 MB. */
+const defaultIdsLimit = 20_000
 /** Router incarnations whose floor is remembered; a fleet restarts some 130 processes a day. */
 const floorsLimit = 20_000
 
--- a/packages/policy/src/shared/slices/__tests__/sliceEntries.test.ts
+++ b/packages/policy/src/shared/slices/__tests__/sliceEntries.test.ts
@@ -64,4 +64,14 @@
     expect(entries.takeOld(60, 60)).toEqual([{ holder: 'r.1', shard: 0 }])
     expect(entries.takeOld(61, 60)).toEqual([])
   })
+
+  it('forgets holders that have been idle for an hour, so that replaced routers do not pile up', () => {
+    const entries = new SliceEntries()
+    entries.prune('r.1', 0, 5)
+    entries.takeOld(0, 60)
+    entries.takeOld(3_599_999, 60)
+    expect(entries.check(reservation(5), -1)).toBe('alreadySettled')
+    entries.takeOld(3_600_000, 60)
+    expect(entries.check(reservation(5), -1)).toBeUndefined()
+  })
 })
--- a/packages/policy/src/shared/slices/sliceEntries.ts
+++ b/packages/policy/src/shared/slices/sliceEntries.ts
@@ -32,8 +32,13 @@
 interface HolderShard {
   settledSeq: number
   readonly entries: Map<number, StoredEntry>
+  /** Monotonic time since when there are no entries, in ms; unset while there are. */
+  idleSinceMs?: number | undefined
 }
 
+/** Idle shards of holders are forgotten after this time, in ms; most belong to routers that were replaced. */
+const idleLimitMs = 3_600_000
+
 export type EntryRefusal = 'fenced' | 'alreadySettled' | 'seqReused'
 
 export class SliceEntries {
@@ -93,15 +98,23 @@
     if (this.#fenced.has(holder)) this.#holders.delete(holder)
   }
 
-  /** Holders and shards with entries that nobody was asked about for `ageMs`; marks them as asked. */
+  /** Holders and shards with entries that nobody was asked about for `ageMs`; marks them as asked, and forgets idle shards. */
   takeOld (nowMs: number, ageMs: number): readonly OldEntries[] {
     const old: OldEntries[] = []
     for (const [holder, shards] of this.#holders) {
-      for (const [shard, { entries }] of shards) {
+      for (const [shard, known] of shards) {
+        const { entries } = known
+        if (entries.size === 0) {
+          known.idleSinceMs ??= nowMs
+          if (nowMs - known.idleSinceMs >= idleLimitMs) shards.delete(shard)
+          continue
+        }
+        known.idleSinceMs = undefined
         const due = [...entries.values()].filter(entry => nowMs - entry.askedAtMs >= ageMs)
         for (const entry of due) entries.set(entry.seq, { ...entry, askedAtMs: nowMs })
         if (due.length > 0) old.push({ holder, shard })
       }
+      if (shards.size === 0) this.#holders.delete(holder)
     }
     return old
   }
--- a/packages/policy/src/shared/slices/storedSlices.ts
+++ b/packages/policy/src/shared/slices/storedSlices.ts
@@ -16,7 +16,7 @@
   return `${handoverPrefix}${endpointId}.${incarnation}`
 }
 
-/** Entries by holder that were not flushed when the endpoint process left; all of them are settled. */
+/** Entries by holder that were not flushed when the endpoint process left; a `reserved` one was cut off by the drain limit and counts wholly. */
 export const handoverSchema = z.object({
   endpointId: z.string(),
   incarnation: z.string(),
