Answer a request that killed endpoints after its evidence has spread

Cause: in a trial with the example fleet and four engines, a prompt that crashes engines was sent again 80 ms later through the other router, before the reports of the first crashes were there, and ran again. Eight innocent requests sent afterwards were all refused.

Ruled out: a delay at the router that gets the content again, which does not know that anything failed.

Change: a request under which endpoints died is answered when the reports of these deaths have arrived and been passed on, at the latest after 250 ms.

Conclusion: two endpoints at most die under a content whose caller waits for its answer; parallel copies of it can still reach more.

--- a/packages/policy/src/shared/crash/crashEvidence.ts
+++ b/packages/policy/src/shared/crash/crashEvidence.ts
@@ -54,9 +54,14 @@
     return true
   }
 
+  /** Crashes that count against a content. */
+  crashesOf (contentHash: string): number {
+    return this.#against.get(contentHash)?.size ?? 0
+  }
+
   /** Whether requests with this content are refused. */
   isSuspect (contentHash: string): boolean {
-    return (this.#against.get(contentHash)?.size ?? 0) >= crashesUntilSuspect
+    return this.crashesOf(contentHash) >= crashesUntilSuspect
   }
 
   /** Adds the evidence of another replica. True when there was news. */
--- a/packages/router/src/node/forward/__tests__/crashes.test.ts
+++ b/packages/router/src/node/forward/__tests__/crashes.test.ts
@@ -1,5 +1,5 @@
 import { afterEach, describe, expect, it } from 'vitest'
-import { createRouterClient } from '@buckthorndrift/protocol'
+import { createRouterClient, type Member } from '@buckthorndrift/protocol'
 import { answer, FakeEndpoint, refuse } from '../../__tests__/fakeEndpoint.ts'
 import { callerHeaders, startRig, type Rig } from '../../__tests__/routerRig.ts'
 
@@ -41,6 +41,20 @@
     expect((await book('harmless')).status).toBe(200)
   })
 
+  it('lets other routers know before the caller can send the content to them', async () => {
+    await start(5)
+    const peer = rig
+    const control: Member = { id: 'peer', incarnation: '1', role: 'router', vm: 'x', failureDomain: 'a', controlUrl: peer.controlUrl, leaving: false }
+    const first = await startRig({ endpoints: opened, routers: [control] })
+    const poison = (url: string): Promise<Response> => fetch(`${url}/services/desk/bookings`, { method: 'POST', headers: callerHeaders(), body: 'poison' })
+    expect((await poison(first.url)).status).toBe(502)
+    // The peer knows the first crash, so its own one is the second.
+    expect((await poison(peer.url)).status).toBe(422)
+    expect((await poison(peer.url)).status).toBe(422)
+    expect(touched()).toBe(2)
+    await first.stop()
+  })
+
   it('stops the retries of an idempotent call after two endpoints died', async () => {
     await start(5)
     for (const endpoint of opened) endpoint.script = async () => { await endpoint.kill() }
--- a/packages/router/src/node/forward/crashSharing.ts
+++ b/packages/router/src/node/forward/crashSharing.ts
@@ -50,8 +50,8 @@
     const { crashes, documents, timers } = options
     crashes.onDeath = report => {
       this.#options.log.event('endpointDied', { endpointId: report.endpointId, running: report.contentHashes.length })
-      this.#tellPeers(report)
       this.#scheduleWrite(writeDelayMs)
+      return this.#tellPeers(report)
     }
     crashes.onCleared = () => { this.#scheduleWrite(writeDelayMs) }
     this.#unsubscribe = documents.subscribe(documentName, document => {
@@ -64,8 +64,9 @@
   async receive (report: CrashReportInput): Promise<void> {
     if (!this.#options.crashes.note(report)) return
     this.#options.log.event('crashReported', { endpointId: report.endpointId, running: report.contentHashes.length })
-    this.#tellPeers(report)
     this.#scheduleWrite(writeDelayMs)
+    // The endpoint process waits for this answer only to know that its report arrived.
+    this.#tellPeers(report).catch(() => {})
   }
 
   close (): void {
@@ -73,13 +74,13 @@
     this.#unsubscribe()
   }
 
-  #tellPeers (report: CrashReportInput): void {
+  async #tellPeers (report: CrashReportInput): Promise<void> {
     const { membership, fleetSecret, timeoutMs } = this.#options
     const peers = membership.routers({ isReachable: true }).filter(router => router.id !== membership.self.id)
-    for (const { controlUrl } of peers.slice(0, maxDirectPeers)) {
+    await Promise.all(peers.slice(0, maxDirectPeers).map(({ controlUrl }) => {
       // A peer that cannot be told learns it from the document.
-      createRouterClient({ url: controlUrl, fleetSecret, timeoutMs }).evidence.reportCrash.mutate(report).catch(() => {})
-    }
+      return createRouterClient({ url: controlUrl, fleetSecret, timeoutMs }).evidence.reportCrash.mutate(report).catch(() => {})
+    }))
   }
 
   #scheduleWrite (delayMs: number): void {
--- a/packages/router/src/node/forward/crashWatch.ts
+++ b/packages/router/src/node/forward/crashWatch.ts
@@ -12,6 +12,7 @@
 
 /** Time in which the report of an endpoint process about its back end usually arrives. */
 const reportDelayMs = 250
+const reportCheckMs = 10
 const maxFailures = 5000
 
 export class CrashWatch {
@@ -21,8 +22,9 @@
   readonly #deaths = new Set<string>()
   /** Monotonic time in ms of the last failure at a back end, by content. */
   readonly #failures = new LRUCache<string, number>({ max: maxFailures })
-  /** Called when this router saw a process die. */
-  onDeath: (report: CrashReportInput) => void = () => {}
+  /** Called when this router saw a process die; resolves when other routers know. */
+  onDeath: (report: CrashReportInput) => Promise<void> = async () => {}
+  #spreading: Promise<void> = Promise.resolve()
   /** Called when a content was cleared. */
   onCleared: () => void = () => {}
 
@@ -67,7 +69,22 @@
     const report: CrashReportInput = {
       endpointId: endpoint.id, incarnation: endpoint.incarnation, crash: processDeath, contentHashes: [...new Set(running.values())]
     }
-    if (this.note(report)) this.onDeath(report)
+    if (this.note(report)) this.#spreading = this.onDeath(report)
+  }
+
+  /**
+   * Resolves when `deaths` of endpoints under a content are known to the routers,
+   * at the latest after the usual time of a report. A caller that is answered
+   * sooner could send the content again to a router that does not know of them.
+   */
+  async awaitReports (contentHash: string, deaths: number): Promise<void> {
+    const untilMs = this.#timers.monotonicMs() + reportDelayMs
+    while (this.evidence.crashesOf(contentHash) < deaths && this.#timers.monotonicMs() < untilMs) await this.#wait(reportCheckMs)
+    await Promise.race([this.#spreading, this.#wait(Math.max(0, untilMs - this.#timers.monotonicMs()))])
+  }
+
+  #wait (delayMs: number): Promise<void> {
+    return new Promise(resolve => { this.#timers.after(delayMs, resolve) })
   }
 
   /** Notes a report; several reports of one crash count once. True when there was news. */
--- a/packages/router/src/node/forward/requestRun.ts
+++ b/packages/router/src/node/forward/requestRun.ts
@@ -230,8 +230,9 @@
     }
   }
 
-  #giveUp (failure: Failure): RunEnd {
+  async #giveUp (failure: Failure): Promise<RunEnd> {
     this.#settleEarlier()
+    if (this.#deaths > 0) await this.#deps.crashes.awaitReports(this.#plan.contentHash, this.#deaths)
     if (this.#answer.isGone) return { kind: 'gone' }
     const isSuspect = this.#deps.crashes.isSuspect(this.#plan.contentHash)
     return { kind: 'refused', failure: this.#withEarlierVerdicts(isSuspect ? suspect : failure) }
