Write the log of the router binary

No router wrote any log event: roarr reads ROARR_LOG when it is loaded, and createRoarrLog sets it afterwards. Found by looking for event 1002 in a trial with three routers; the output of a router held only its listening lines. The binary now sets the variable before anything else is loaded, and a test expects event 1005 on standard output. Setting it in roarrLog.ts after the import was ruled out, since it is too late there; the kernel should import such a module before roarr, which would cover the endpoint binary too.

A further test expects that something sends each metric of the catalogue.

--- a/packages/cli/src/node/__tests__/eventUse.test.ts
+++ b/packages/cli/src/node/__tests__/catalogueUse.test.ts
@@ -2,7 +2,7 @@
 import { join } from 'node:path'
 import { fileURLToPath } from 'node:url'
 import { describe, expect, it } from 'vitest'
-import { eventCatalogue } from '@buckthorndrift/kernel'
+import { eventCatalogue, metricCatalogue } from '@buckthorndrift/kernel'
 
 const root = fileURLToPath(new URL('../../../../../', import.meta.url))
 
@@ -24,3 +24,10 @@
     expect(Object.keys(eventCatalogue).filter(name => !text.includes(`'${name}'`))).toEqual([])
   })
 })
+
+describe('metric catalogue', () => {
+  it('lists no metric that nothing sends, which would leave a chart empty', () => {
+    const text = sources()
+    expect(Object.keys(metricCatalogue).filter(name => !text.includes(`'${name}'`))).toEqual([])
+  })
+})
--- a/packages/cli/src/node/__tests__/commandLine.test.ts
+++ b/packages/cli/src/node/__tests__/commandLine.test.ts
@@ -84,9 +84,10 @@
       expect(absent.err).toContain('--url')
     })
 
-    it('lists every wrong setting of a router and exits with 2', async () => {
-      const { code, err } = await cli('router', '--platform-url', 'nowhere')
+    it('lists every wrong setting of a router, also in its log, and exits with 2', async () => {
+      const { code, out, err } = await cli('router', '--platform-url', 'nowhere')
       expect(code).toBe(2)
+      expect(JSON.parse(out)).toMatchObject({ context: { event: 1005 }, message: 'settings are invalid' })
       for (const name of ['--id', '--vm', '--fleet-secret', '--admin-key-hashes']) expect(err).toContain(name)
     })
   })
--- a/packages/cli/src/node/bin.ts
+++ b/packages/cli/src/node/bin.ts
@@ -1,4 +1,5 @@
 #!/usr/bin/env node
+import './enableLog.ts'
 import { exitCodes } from '../shared/exitCodes.ts'
 import { runCommandLine } from './commandLine.ts'
 
