--- a/packages/bench/src/node/benches.ts
+++ b/packages/bench/src/node/benches.ts
@@ -1,4 +1,6 @@
 /** The benches by name. */
+import { benchBudgets } from './budget/index.ts'
+import { runConfigBench } from './config/configBench.ts'
 import { benchOverhead } from './overhead/index.ts'
 import { benchRetries } from './retries/index.ts'
 import { runRolloutBench } from './rollout/rolloutBench.ts'
@@ -18,6 +20,14 @@
 const rolloutVersions = 200
 
 export const benches: Readonly<Record<string, Bench>> = {
+  budget: {
+    summary: 'overspend, false refusals and platform calls of the ledger against fixed equal slices',
+    run: options => benchBudgets(options)
+  },
+  config: {
+    summary: 'seconds until the last of 50 processes follows a change, also with one group cut off from the platform',
+    run: () => runConfigBench()
+  },
   overhead: {
     summary: 'throughput, added latency and processor time of the path against the engine called directly',
     run: () => benchOverhead()
