Add the capacity bench

Fits slopes of stored bytes, heap and processor time per budget, claim, slice entry, key, endpoint and control message.

--- a/packages/bench/src/node/benches.ts
+++ b/packages/bench/src/node/benches.ts
@@ -1,5 +1,6 @@
 /** The benches by name. */
 import { benchBudgets } from './budget/index.ts'
+import { benchCapacity } from './capacity/index.ts'
 import { runConfigBench } from './config/configBench.ts'
 import { benchOverhead } from './overhead/index.ts'
 import { benchRetries } from './retries/index.ts'
@@ -24,6 +25,10 @@
     summary: 'overspend, false refusals and platform calls of the ledger against fixed equal slices',
     run: options => benchBudgets(options)
   },
+  capacity: {
+    summary: 'slopes of memory, bytes and processor time against the size of the fleet',
+    run: () => benchCapacity()
+  },
   config: {
     summary: 'seconds until the last of 50 processes follows a change, also with one group cut off from the platform',
     run: () => runConfigBench()
