Wait for the reports of this failure, not of earlier ones

Cause: the wait for crash reports counted deaths from zero, so the evidence of an earlier failure ended the wait for the present one.

Ruled out: a longer wait; it only hides the wrong count.

Change: a failure waits until one crash more than before counts against the content, and a request with a content whose reports are on their way waits for them as well, 250 ms at most.

--- a/packages/router/src/node/forward/crashWatch.ts
+++ b/packages/router/src/node/forward/crashWatch.ts
@@ -1,5 +1,4 @@
 /** Requests of this router that are running, by endpoint, and the crash evidence they give. */
-import { LRUCache } from 'lru-cache'
 import { CrashEvidence } from '@buckthorndrift/policy'
 import type { TimerService } from '@buckthorndrift/kernel'
 import type { CrashReportInput, Member } from '@buckthorndrift/protocol'
@@ -9,42 +8,52 @@
 const maxDeaths = 1000
 /** Number of the crash in reports of a process death, above those that an endpoint process gives to its back end's. */
 const processDeath = 2 ** 40
-
-/** Time in which the report of an endpoint process about its back end usually arrives. */
-const reportDelayMs = 250
+/** Interval at which a request looks for the reports that it waits for. */
 const reportCheckMs = 10
-const maxFailures = 5000
+
+/** Reports that are on their way. */
+interface Awaited {
+  /** Crashes that count against the content once they have arrived. */
+  crashes: number
+  readonly untilMs: number
+  arrived: Promise<void>
+}
 
 export class CrashWatch {
   readonly evidence = new CrashEvidence()
   readonly #timers: TimerService
+  readonly #reportWaitMs: number
   readonly #running = new Map<string, Map<string, string>>()
   readonly #deaths = new Set<string>()
-  /** Monotonic time in ms of the last failure at a back end, by content. */
-  readonly #failures = new LRUCache<string, number>({ max: maxFailures })
+  readonly #awaited = new Map<string, Awaited>()
   /** Called when this router saw a process die; resolves when other routers know. */
   onDeath: (report: CrashReportInput) => Promise<void> = async () => {}
   #spreading: Promise<void> = Promise.resolve()
   /** Called when a content was cleared. */
   onCleared: () => void = () => {}
 
-  constructor (timers: TimerService) {
+  /** `reportWaitMs`: time in which the report of an endpoint process about its back end usually arrives. */
+  constructor (timers: TimerService, reportWaitMs: number) {
     this.#timers = timers
+    this.#reportWaitMs = reportWaitMs
   }
 
   isSuspect (contentHash: string): boolean {
     return this.evidence.isSuspect(contentHash)
   }
 
-  /** Notes that a back end failed while it had the content; a report may follow that says whether it fell over. */
+  /** Notes that a back end failed while it had the content; a report says whether it fell over. */
   noteFailure (contentHash: string): void {
-    this.#failures.set(contentHash, this.#timers.monotonicMs())
-  }
-
-  /** Time in ms for which a content waits, so that a caller that sends it again is not faster than the report. */
-  waitMs (contentHash: string): number {
-    const failedMs = this.#failures.get(contentHash)
-    return failedMs === undefined ? 0 : Math.max(0, failedMs + reportDelayMs - this.#timers.monotonicMs())
+    const known = this.#awaited.get(contentHash)
+    if (known !== undefined) {
+      known.crashes += 1
+      return
+    }
+    const awaited: Awaited = {
+      crashes: this.evidence.crashesOf(contentHash) + 1, untilMs: this.#timers.monotonicMs() + this.#reportWaitMs, arrived: Promise.resolve()
+    }
+    this.#awaited.set(contentHash, awaited)
+    awaited.arrived = this.#untilReported(contentHash, awaited).finally(() => { this.#awaited.delete(contentHash) })
   }
 
   /** Notes that a request was sent to an endpoint; the returned function ends it. */
@@ -72,15 +81,25 @@
     if (this.note(report)) this.#spreading = this.onDeath(report)
   }
 
+  /** Reports about the content that are on their way; a request with it waits for them. `undefined` for nearly all contents. */
+  pendingReports (contentHash: string): Promise<void> | undefined {
+    return this.#awaited.get(contentHash)?.arrived
+  }
+
   /**
-   * Resolves when `deaths` of endpoints under a content are known to the routers,
-   * at the latest after the usual time of a report. A caller that is answered
-   * sooner could send the content again to a router that does not know of them.
+   * Resolves when the reports about failures of the content have arrived and its
+   * deaths are known to other routers, at the latest after the usual time of a
+   * report. A caller that is answered sooner could send the content again to a
+   * router that does not know of them.
    */
-  async awaitReports (contentHash: string, deaths: number): Promise<void> {
-    const untilMs = this.#timers.monotonicMs() + reportDelayMs
-    while (this.evidence.crashesOf(contentHash) < deaths && this.#timers.monotonicMs() < untilMs) await this.#wait(reportCheckMs)
-    await Promise.race([this.#spreading, this.#wait(Math.max(0, untilMs - this.#timers.monotonicMs()))])
+  async awaitReports (contentHash: string): Promise<void> {
+    await this.pendingReports(contentHash)
+    await Promise.race([this.#spreading, this.#wait(this.#reportWaitMs)])
+  }
+
+  async #untilReported (contentHash: string, awaited: Awaited): Promise<void> {
+    const isOpen = (): boolean => this.evidence.crashesOf(contentHash) < awaited.crashes && this.#timers.monotonicMs() < awaited.untilMs
+    while (isOpen()) await this.#wait(reportCheckMs)
   }
 
   #wait (delayMs: number): Promise<void> {
@@ -95,7 +114,6 @@
 
   /** Notes that a content completed. */
   complete (contentHash: string): void {
-    this.#failures.delete(contentHash)
     if (this.evidence.clear(contentHash)) this.onCleared()
   }
 }
--- a/packages/router/src/node/forward/forwarding.ts
+++ b/packages/router/src/node/forward/forwarding.ts
@@ -40,7 +40,7 @@
   const silence = new SilenceWatch(timers, settings.silenceMs)
   const pools = new EndpointPools({ connectTimeoutMs: settings.connectTimeoutMs })
   const book = new EndpointBook({ membership, timers, hasher: await createHasher(), random, avoidFullMs: settings.avoidFullMs })
-  const crashes = new CrashWatch(timers)
+  const crashes = new CrashWatch(timers, settings.crashReportWaitMs)
   const sharing = new CrashSharing({ crashes, timers, log, random, membership, documents, store: context.use(objectStoreKey), fleetSecret, timeoutMs: settings.controlTimeoutMs })
   context.use(controlRegistryKey).register('evidence', { reportCrash: report => sharing.receive(report) })
   const stopPruning = membership.subscribe(() => { pools.retain(membership.endpoints()) })
--- a/packages/router/src/node/forward/requestRun.ts
+++ b/packages/router/src/node/forward/requestRun.ts
@@ -75,8 +75,7 @@
   }
 
   async run (): Promise<RunEnd> {
-    const waitMs = this.#deps.crashes.waitMs(this.#plan.contentHash)
-    if (waitMs > 0) await this.#wait(waitMs)
+    await this.#deps.crashes.pendingReports(this.#plan.contentHash)
     if (this.#deps.crashes.isSuspect(this.#plan.contentHash)) {
       // An earlier request with the same key may be one of those that ran.
       return { kind: 'refused', failure: this.#plan.keyHash === undefined ? suspect : { ...suspect, verdict: mayHaveRun } }
@@ -232,7 +231,7 @@
 
   async #giveUp (failure: Failure): Promise<RunEnd> {
     this.#settleEarlier()
-    if (this.#deaths > 0) await this.#deps.crashes.awaitReports(this.#plan.contentHash, this.#deaths)
+    if (this.#deaths > 0) await this.#deps.crashes.awaitReports(this.#plan.contentHash)
     if (this.#answer.isGone) return { kind: 'gone' }
     const isSuspect = this.#deps.crashes.isSuspect(this.#plan.contentHash)
     return { kind: 'refused', failure: this.#withEarlierVerdicts(isSuspect ? suspect : failure) }
--- a/packages/router/src/shared/callerSettings.ts
+++ b/packages/router/src/shared/callerSettings.ts
@@ -29,6 +29,8 @@
   readonly controlTimeoutMs: number
   /** Time for which an answer is sought again at its endpoint before the endpoint counts as lost, in ms. */
   readonly attachForMs: number
+  /** Longest wait for the reports of deaths under a request before its failure is answered, in ms. */
+  readonly crashReportWaitMs: number
   /** Time between the first failed health check of a graceful shutdown and the end of the listener, in ms. */
   readonly drainDelayMs: number
   /** Time for which an endpoint that refused as full is avoided, in ms. */
@@ -50,6 +52,7 @@
   connectTimeoutMs: 1000,
   controlTimeoutMs: 2000,
   attachForMs: 6000,
+  crashReportWaitMs: 250,
   drainDelayMs: 0,
   avoidFullMs: 250
 }
