Close slices of a holder that returned tokens after the endpoints answered

A healthy but suspected home settled a running request at less and returned the rest, while the reclaim still had the older answer with the whole reservation. The assertion stopped the write, so nothing was overspent, but the slice would have stayed counted as spent for good.

Change: running requests count at most what the cap leaves above the settled ones, which a holder never exceeds. Settled entries alone above the cap still stop the write.

--- a/packages/policy/src/shared/budget/fenceAnswers.ts
+++ b/packages/policy/src/shared/budget/fenceAnswers.ts
@@ -111,17 +111,21 @@
 
   /**
    * Tokens spent of a slice. A reservation that several endpoints know, after a
-   * retry, counts once.
+   * retry, counts once. Running requests count with their reservations, but
+   * together at most what the cap leaves: a holder that still lives may have
+   * settled them at less and returned the rest since the endpoints answered.
    */
   spentOf (shard: number, budget: string, slice: Slice, settledSeq: number): number {
     if (this.#isUnknowable) return slice.capTokens
-    const tokensBySeq = new Map<number, number>()
+    const bySeq = new Map<number, FenceEntry>()
     const answered = [...this.#asked.values()].flatMap(asked => asked.entries ?? [])
     for (const entry of [...answered, ...this.#handedOver]) {
       if (entry.shard !== shard || entry.budget !== budget || entry.seq <= settledSeq) continue
-      tokensBySeq.set(entry.seq, Math.max(tokensBySeq.get(entry.seq) ?? 0, entry.tokens))
+      if (entry.tokens >= (bySeq.get(entry.seq)?.tokens ?? 0)) bySeq.set(entry.seq, entry)
     }
-    return [...tokensBySeq.values()].reduce((sum, tokens) => sum + tokens, slice.settledTokens)
+    const sumOf = (state: FenceEntry['state']) => [...bySeq.values()].filter(entry => entry.state === state).reduce((sum, entry) => sum + entry.tokens, 0)
+    const settledTokens = slice.settledTokens + sumOf('settled')
+    return settledTokens + Math.min(sumOf('reserved'), Math.max(0, slice.capTokens - settledTokens))
   }
 
   #lose (asked: Asked): void {
--- a/packages/router/src/node/budget/__tests__/fleet.test.ts
+++ b/packages/router/src/node/budget/__tests__/fleet.test.ts
@@ -201,4 +201,15 @@
     await testFleet.kill(home)
     await expect.poll(async () => (await readBudget(store, 'b1')).unwrap(), { timeout: 20_000 }).toMatchObject({ spentTokens: 30, heldTokens: 0 })
   })
+
+  it('reserves elsewhere while the home drains, although it is still registered', async () => {
+    const { store } = await start()
+    const home = testFleet.collectorOf('b1')
+    const { budgets } = testFleet.otherThan(home)
+    const { reservation } = (await budgets.reserve('b1', 100, 2000)).unwrap()
+    budgets.settle('b1', reservation, 40)
+    await testFleet.routers.find(({ member }) => member.id === home)?.kernel.stop()
+    expect((await readBudget(store, 'b1')).unwrap()).toMatchObject({ spentTokens: 40, heldTokens: 0 })
+    expect((await budgets.reserve('b1', 100, 2000)).unwrap().reservation.holder).not.toBe(`${home}.a`)
+  })
 })
--- a/packages/router/src/node/budget/budgetRoutes.ts
+++ b/packages/router/src/node/budget/budgetRoutes.ts
@@ -114,7 +114,7 @@
     if (peers === undefined) return asked.size === 0 ? membership.self : undefined
     const nowMs = this.#nowMs()
     const routes = routesFor({
-      homes: this.#homesOf(shard),
+      homes: this.#homesOf(shard, asked),
       requestsPerSecond: demand.requests.tokensPerSecond(nowMs),
       domainRouters: membership.routers({ failureDomain: membership.self.failureDomain, isReachable: true }).length,
       isTight: nowMs < demand.tightUntilMs
@@ -123,13 +123,14 @@
     return membership.routers().find(router => router.id === id)
   }
 
-  #homesOf (shard: number): Homes {
+  /** Homes without the routers asked before: one that drains or does not answer may still be registered. */
+  #homesOf (shard: number, asked: ReadonlySet<string> = new Set()): Homes {
     const present = this.#homes.get(shard)
-    if (present !== undefined) return present
+    if (present !== undefined && asked.size === 0) return present
     const { membership } = this.#options
-    const routers = membership.routers({ isReachable: true }).filter(router => !router.leaving)
+    const routers = membership.routers({ isReachable: true }).filter(router => !router.leaving && !asked.has(router.id))
     const homes = homesOf(shard, membership.self.failureDomain, routers)
-    this.#homes.set(shard, homes)
+    if (asked.size === 0) this.#homes.set(shard, homes)
     return homes
   }
 
--- a/packages/router/src/node/budget/plugin.ts
+++ b/packages/router/src/node/budget/plugin.ts
@@ -1,5 +1,5 @@
 /** Plugin of a router: reservations of tokens for the caller path, and the `budget` control handlers. */
-import { definePlugin, type Plugin, type PluginContext } from '@buckthorndrift/kernel'
+import { definePlugin, type Plugin, type PluginContext, type TimerService } from '@buckthorndrift/kernel'
 import { defaultBudgetLimits, defaultReclaimLimits, holdersOf, type BudgetLimits, type ReclaimLimits } from '@buckthorndrift/policy'
 import { documentsKey, membershipKey, objectStoreKey } from '@buckthorndrift/platform'
 import { budgetServiceKey, controlRegistryKey } from '../../shared/services.ts'
@@ -29,6 +29,8 @@
 /** How often holders look at their clocks and settlements are sent. */
 const tickMs = 100
 
+const settleLimitMs = 5000
+
 /** How often lost holders are looked for. */
 const lostTickMs = 1000
 
@@ -85,6 +87,15 @@
   })
 }
 
+/** Waits until the holders took all settlements, at most `settleLimitMs`. */
+async function sendAll (settlements: Settlements, timers: TimerService): Promise<void> {
+  const startedMs = timers.monotonicMs()
+  while (!settlements.isEmpty && timers.monotonicMs() - startedMs < settleLimitMs) {
+    settlements.flush(timers.monotonicMs())
+    await new Promise<void>(resolve => { timers.after(tickMs, resolve) })
+  }
+}
+
 /** Creates the plugin. Needs the object store, membership, the control registry and, for a fleet, documents. */
 export function createBudgetPlugin (options: BudgetPluginOptions = {}): Plugin {
   return definePlugin({
@@ -105,13 +116,13 @@
         membership.subscribe(() => { home.updateCollectors() }),
         timers.every(tickMs, () => {
           home.tick()
-          settlements.flush()
+          settlements.flush(timers.monotonicMs())
         }),
         ...(options.fleet === undefined ? [] : [startReclaims({ context, options, home, routes }, options.fleet)])
       ]
       return {
         async drain () {
-          settlements.flush()
+          await sendAll(settlements, timers)
           await home.drain()
         },
         close () { for (const stop of stops) stop() }
--- a/packages/router/src/node/budget/settlements.ts
+++ b/packages/router/src/node/budget/settlements.ts
@@ -11,6 +11,9 @@
 /** Settlements kept per holder; beyond it the oldest are dropped and their holder counts them wholly, which is safe. */
 const maxKept = 20_000
 
+/** Settlements of a holder that is not registered are dropped after this time. */
+const goneAfterMs = 60_000
+
 export interface SettlementsOptions {
   readonly membership: Membership
   send (peer: Member, items: readonly Item[]): Promise<void>
@@ -20,6 +23,7 @@
   readonly #options: SettlementsOptions
   readonly #kept = new Map<string, Item[]>()
   readonly #sending = new Set<string>()
+  readonly #missingSinceMs = new Map<string, number>()
 
   constructor (options: SettlementsOptions) {
     this.#options = options
@@ -37,23 +41,31 @@
   }
 
   /** Sends what waits, one call per holder at a time. */
-  flush (): void {
-    for (const holder of this.#kept.keys()) if (!this.#sending.has(holder)) this.#flushOne(holder)
+  flush (nowMs: number): void {
+    for (const holder of this.#kept.keys()) if (!this.#sending.has(holder)) this.#flushOne(holder, nowMs)
   }
 
-  #flushOne (holder: string): void {
+  #flushOne (holder: string, nowMs: number): void {
     const peer = this.#options.membership.routers().find(router => isHolderOf(holder, router))
     const items = this.#kept.get(holder)?.slice(0, maxItems) ?? []
     if (peer === undefined) {
-      // The holder is gone; its slices are closed by what the endpoints ran.
-      this.#kept.delete(holder)
+      // A holder that stays away is reclaimed by what the endpoints ran; the registry may also just lack it for a moment.
+      const sinceMs = this.#missingSinceMs.get(holder) ?? nowMs
+      this.#missingSinceMs.set(holder, sinceMs)
+      if (nowMs - sinceMs >= goneAfterMs) this.#forget(holder)
       return
     }
+    this.#missingSinceMs.delete(holder)
     this.#sending.add(holder)
     this.#options.send(peer, items).then(() => {
       const rest = (this.#kept.get(holder) ?? []).filter(item => !items.includes(item))
-      if (rest.length === 0) this.#kept.delete(holder)
+      if (rest.length === 0) this.#forget(holder)
       else this.#kept.set(holder, rest)
     }, () => { this.#options.membership.noteUnreachable(peer.id) }).finally(() => { this.#sending.delete(holder) })
   }
+
+  #forget (holder: string): void {
+    this.#kept.delete(holder)
+    this.#missingSinceMs.delete(holder)
+  }
 }
