--- a/packages/endpoint/src/node/endpointPlugins.ts
+++ b/packages/endpoint/src/node/endpointPlugins.ts
@@ -1,14 +1,16 @@
 /** The plug-ins of an endpoint process, and its start in process. */
 import { randomUUID } from 'node:crypto'
 import {
-  definePlugin, silentLog, silentMetrics, startKernel, type Kernel, type Log, type Metrics, type Plugin, type TimerService
+  definePlugin, silentLog, silentMetrics, startKernel, type Kernel, type Log, type Metrics, type Plugin, type TimerService, type Tracing
 } from '@buckthorndrift/kernel'
 import { createEndpointControl, type EndpointControlHandlers, type Member } from '@buckthorndrift/protocol'
 import type { EndpointSettings } from '../shared/endpointSettings.ts'
 import { controlPartsKey, type ControlParts } from '../shared/services.ts'
 import { createAttachHandler, createCallHandler } from './callHandlers.ts'
 import { Gate } from './gate.ts'
+import { createClaimsPlugin } from './claimsPlugin.ts'
 import { createLifecyclePlugin } from './lifecyclePlugin.ts'
+import { createLimitPlugin } from './limitPlugin.ts'
 import { openListener, type Listener } from './listener.ts'
 import { createPeersPlugin } from './peersPlugin.ts'
 import { createRecordsPlugin } from './recordsPlugin.ts'
@@ -19,6 +21,7 @@
   readonly incarnation: string
   readonly listener: Listener
   readonly gate: Gate
+  readonly tracing?: Tracing | undefined
   /** Starts the graceful shutdown of the process. */
   readonly stop: () => void
 }
@@ -41,16 +44,18 @@
   })
 }
 
-function createDataPlugin ({ settings, listener, gate }: EndpointPluginOptions): Plugin {
+function createDataPlugin ({ settings, incarnation, listener, gate, tracing }: EndpointPluginOptions): Plugin {
   return definePlugin({
     name: 'data',
     setup (context) {
-      const options = { gate, settings, timers: context.timers }
+      const options = { gate, settings, incarnation, timers: context.timers, tracing }
       const control = context.use(controlPartsKey)
       return {
         ready () {
           listener.serve({ call: createCallHandler(options), attach: createAttachHandler(options), control: createEndpointControl(control.all()) })
         },
+        // Drains run in reverse order: new calls are refused before anything else is handed over.
+        drain () { gate.leave().catch(() => {}) },
         close: () => listener.close()
       }
     }
@@ -67,9 +72,11 @@
   return [
     createControlPlugin(),
     createPeersPlugin(settings),
+    createLimitPlugin(settings, gate),
     createSlicesPlugin(settings, incarnation, gate),
     createRecordsPlugin(settings, incarnation, gate),
     createLifecyclePlugin(settings, gate, options.stop),
+    createClaimsPlugin(settings),
     createDataPlugin(options)
   ]
 }
@@ -79,6 +86,7 @@
   readonly timers: TimerService
   readonly log?: Log
   readonly metrics?: Metrics
+  readonly tracing?: Tracing
   /** Plug-ins that provide object store, documents and membership for this process. */
   readonly platform: (self: Member) => readonly Plugin[]
 }
@@ -120,7 +128,7 @@
       plugins: [
         definePlugin({ name: 'stop', setup: () => ({ close: () => { noteStopped() } }) }),
         ...options.platform(self),
-        ...createEndpointPlugins({ settings, incarnation, listener, gate, stop })
+        ...createEndpointPlugins({ settings, incarnation, listener, gate, stop, tracing: options.tracing })
       ]
     })
   } catch (error) {
--- a/packages/router/src/node/forward/__tests__/crashes.test.ts
+++ b/packages/router/src/node/forward/__tests__/crashes.test.ts
@@ -1,6 +1,6 @@
 import { afterEach, describe, expect, it } from 'vitest'
-import { createRouterClient } from '@buckthorndrift/protocol'
-import { answer, FakeEndpoint } from '../../__tests__/fakeEndpoint.ts'
+import { createRouterClient, type Member } from '@buckthorndrift/protocol'
+import { answer, FakeEndpoint, refuse } from '../../__tests__/fakeEndpoint.ts'
 import { callerHeaders, startRig, type Rig } from '../../__tests__/routerRig.ts'
 
 describe('requests that crash endpoints', () => {
@@ -41,6 +41,20 @@
     expect((await book('harmless')).status).toBe(200)
   })
 
+  it('lets other routers know before the caller can send the content to them', async () => {
+    await start(5)
+    const peer = rig
+    const control: Member = { id: 'peer', incarnation: '1', role: 'router', vm: 'x', failureDomain: 'a', controlUrl: peer.controlUrl, leaving: false }
+    const first = await startRig({ endpoints: opened, routers: [control] })
+    const poison = (url: string): Promise<Response> => fetch(`${url}/services/desk/bookings`, { method: 'POST', headers: callerHeaders(), body: 'poison' })
+    expect((await poison(first.url)).status).toBe(502)
+    // The peer knows the first crash, so its own one is the second.
+    expect((await poison(peer.url)).status).toBe(422)
+    expect((await poison(peer.url)).status).toBe(422)
+    expect(touched()).toBe(2)
+    await first.stop()
+  })
+
   it('stops the retries of an idempotent call after two endpoints died', async () => {
     await start(5)
     for (const endpoint of opened) endpoint.script = async () => { await endpoint.kill() }
@@ -50,6 +64,34 @@
     expect(opened.filter(endpoint => endpoint.received.length > 0)).toHaveLength(2)
   })
 
+  it('takes "not run" only from the life of the process that the request was sent to', async () => {
+    await start(1)
+    const [endpoint] = opened as [FakeEndpoint]
+    endpoint.script = ({ response }) => { response.destroy() }
+    endpoint.attachScript = (_, _offset, response) => { refuse(response, 'endpointLost', 'mayHaveRun', 502) }
+    const response = await book('text')
+    expect(response.headers.get('bd-verdict')).toBe('mayHaveRun')
+    expect(endpoint.attached[0]).toMatchObject({ incarnation: '1' })
+    expect(rig.settled).toEqual([{ seq: 1, tokens: 20 }])
+  })
+
+  it('waits for the report about a failed back end before it sends the same content to a third one', async () => {
+    await start(4)
+    const client = createRouterClient({ url: rig.controlUrl, fleetSecret: 'secret', timeoutMs: 1000 })
+    for (const [crash, endpoint] of opened.entries()) {
+      endpoint.script = ({ call, response }) => {
+        refuse(response, 'backEndFailed', 'mayHaveRun', 502)
+        // The endpoint process reports after it has answered.
+        setTimeout(() => {
+          client.evidence.reportCrash.mutate({ endpointId: `e${crash}`, incarnation: '1', crash: 0, contentHashes: [call.contentHash] })
+        }, 50)
+      }
+    }
+    const statuses: number[] = []
+    for (let index = 0; index < 4; index++) statuses.push((await book('text')).status)
+    expect(statuses).toEqual([502, 502, 422, 422])
+  })
+
   it('takes the reports of endpoint processes, counts a repeated report once, and stores the evidence', async () => {
     await start(1)
     const client = createRouterClient({ url: rig.controlUrl, fleetSecret: 'secret', timeoutMs: 1000 })
