Keep answers without a key only while a router may re-attach

Cause: nobody can ask for an answer without a key after its router has gone, yet it took memory for the whole retention time.

Change: such answers are kept for 30 s, keyed ones for answerRetentionMs.

--- a/packages/endpoint/src/node/gate.ts
+++ b/packages/endpoint/src/node/gate.ts
@@ -278,7 +278,7 @@
     if (failure !== undefined && answer.head === undefined) answer.fail(failure, settlement)
     else if (answer.head === undefined) answer.fail(cancelled, settlement)
     else answer.end(settlement)
-    this.#table.keep(call.requestId, answer)
+    this.#table.keep(call.requestId, answer, call.keyHash !== undefined)
     this.#options.metrics.timing('endpoint.run', durationMs, { outcome: settlement.outcome })
     this.#startNext()
     if (this.#pending.size === 0) this.#onIdle.splice(0).forEach(resolve => { resolve() })
--- a/packages/endpoint/src/shared/__tests__/answers.test.ts
+++ b/packages/endpoint/src/shared/__tests__/answers.test.ts
@@ -51,15 +51,15 @@
 })
 
 describe('RequestTable', () => {
-  function tableAt (clock: { nowMs: number }, answersLimitBytes = 100_000): RequestTable {
-    return new RequestTable({ monotonicMs: () => clock.nowMs, answerRetentionMs: 1000, answersLimitBytes, idRetentionMs: 5000, idsLimit: 10 })
+  function tableAt (clock: { nowMs: number }, answersLimitBytes = 100_000, answerRetentionMs = 1000): RequestTable {
+    return new RequestTable({ monotonicMs: () => clock.nowMs, answerRetentionMs, answersLimitBytes, idRetentionMs: 5000, idsLimit: 10 })
   }
 
-  function finish (table: RequestTable, id: string, bytes: number): Answer {
+  function finish (table: RequestTable, id: string, bytes: number, hasKey = true): Answer {
     const answer = table.open(id)
     table.append(answer, Buffer.alloc(bytes), 0)
     answer.end({ requestId: id, tokens: 0, outcome: 'completed' })
-    table.keep(id, answer)
+    table.keep(id, answer, hasKey)
     return answer
   }
 
@@ -86,6 +86,15 @@
     expect([answer.isDropped, table.heldBytes, table.look('r.1.1').kind]).toEqual([true, 0, 'known'])
   })
 
+  it('keeps answers without a key only as long as a router may re-attach', () => {
+    const clock = { nowMs: 1 }
+    const table = tableAt(clock, 100_000, 600_000)
+    const [keyed, unkeyed] = [finish(table, 'r.1.1', 1000, true), finish(table, 'r.1.2', 1000, false)]
+    clock.nowMs = 30_002
+    table.sweep()
+    expect([keyed.isDropped, unkeyed.isDropped]).toEqual([false, true])
+  })
+
   it('holds the byte limit: old finished answers go first, then what readers of a running one have', () => {
     const table = tableAt({ nowMs: 1 }, 80_000)
     const first = finish(table, 'r.1.1', 20_000)
--- a/packages/endpoint/src/shared/requestTable.ts
+++ b/packages/endpoint/src/shared/requestTable.ts
@@ -32,6 +32,8 @@
   /** Not of the form `<routerId>.<incarnation>.<sequence>`. */
   | { readonly kind: 'malformed' }
 
+/** Routers give a silent connection up after seconds and re-attach at once; nobody else can ask for an answer without a key. */
+const reattachRetentionMs = 30_000
 const defaultIdRetentionMs = 600_000
 /** An ordinary load is some 4000 ids in the retention time; a flood of refusals may use some 10 MB. */
 const defaultIdsLimit = 20_000
@@ -116,14 +118,15 @@
     this.#makeRoom(answer, takenOffset)
   }
 
-  /** Keeps a finished answer for the retention time. */
-  keep (requestId: string, answer: Answer): void {
+  /** Keeps a finished answer: for the retention time when callers can return with its key, else long enough for a router that re-attaches. */
+  keep (requestId: string, answer: Answer, hasKey: boolean): void {
     if (this.#options.answerRetentionMs === 0 || answer.heldBytes > this.#options.answersLimitBytes) {
       this.#heldBytes -= answer.heldBytes
       answer.drop()
       return
     }
-    this.#finished.set(requestId, answer)
+    const { answerRetentionMs } = this.#options
+    this.#finished.set(requestId, answer, { ttl: hasKey ? answerRetentionMs : Math.min(answerRetentionMs, reattachRetentionMs) })
   }
 
   /** Drops expired answers and ids. Called every second or so. */
