Spread claim shards over the processes of a service

Cause: processes of a service start one after the other, so the first one created the layout alone and owned every shard for good.

Change: every 5 s an owner moves shards towards the process that the rendezvous hash prefers: it becomes the witness first and the owner once it has the whole shard. A process that left a copy without an answer gets none for a minute.

The two attempts overlap and each has its own answer, so the check now takes the runs up to the moment of asking, and in exchange also asserts that a request that was refused as notRun never runs itself.

--- a/packages/policy/src/shared/claims/__tests__/claimWorld.ts
+++ b/packages/policy/src/shared/claims/__tests__/claimWorld.ts
@@ -45,6 +45,8 @@
   readonly #random
   readonly #events: { readonly atMs: number, readonly order: number, readonly run: () => void }[] = []
   readonly #unregistered = new Set<string>()
+  /** Requests whose callers were told notRun. */
+  readonly #refused = new Set<string>()
   readonly #cut = new Set<string>()
   #nowMs = 0
   #order = 0
@@ -59,6 +61,7 @@
   }
 
   get nowMs (): number { return this.#nowMs }
+  get version (): number { return this.#stored.version }
   get layout (): ClaimLayout | undefined { return this.#stored.layout }
 
   at (atMs: number, run: () => void): void {
@@ -145,7 +148,6 @@
 
   /** A router that handles one request with a key, until it has a final answer. */
   async request (keyHash: string): Promise<void> {
-    const startedRuns = (): number => this.runs.get(keyHash)?.length ?? 0
     let known = this.#stored.layout
     let replaces: string | undefined
     let requestId = `r.1.${this.#requests++}`
@@ -157,6 +159,8 @@
       const claim: KeyClaim = { keyHash, contentHash: 'c', requestId, runner, idempotent: false }
       const ask = (process: ClaimRunner): Promise<ClaimAnswer | undefined> => this.#call(undefined, process, life =>
         life.node.claim({ service: 'desk', shard: place.shard, epoch: place.epoch, claim, replaces }))
+      // An attempt of another router that starts later overlaps with this one and has its own answer.
+      const hasRun = this.runs.has(keyHash)
       let answer = await ask(place.owner)
       if (answer === undefined && place.witness !== undefined) {
         const isTaken = await this.#call(undefined, place.witness, life => life.node.takeOver(place.shard, place.epoch))
@@ -165,7 +169,8 @@
       if (answer === undefined || answer.kind === 'notOwner') continue
       if (answer.kind === 'unknown') break
       if (answer.kind === 'unavailable') {
-        if (answer.isKnownUnclaimed && startedRuns() > 0) this.problems.push(`notRun for a key that ran: ${keyHash}`)
+        if (answer.isKnownUnclaimed && hasRun) this.problems.push(`notRun for a key that ran: ${keyHash}`)
+        if (answer.isKnownUnclaimed) this.#refused.add(requestId)
         this.counts[answer.isKnownUnclaimed ? 'notRun' : 'mayHaveRun'] += 1
         return
       }
@@ -191,6 +196,7 @@
       if (!mayRun) return 'refused'
       const runs = [...this.runs.get(claim.keyHash) ?? [], claim.requestId]
       this.runs.set(claim.keyHash, runs)
+      if (this.#refused.has(claim.requestId)) this.problems.push(`request ${claim.requestId} ran after it was refused as notRun`)
       if (runs.length > 1) this.problems.push(`key ${claim.keyHash} ran ${runs.length} times: ${runs.join(' ')}`)
       return 'known'
     }
--- a/packages/policy/src/shared/claims/claimNode.ts
+++ b/packages/policy/src/shared/claims/claimNode.ts
@@ -49,6 +49,10 @@
 /** Changes of one shard; `undefined` leaves it as it is. */
 type ShardPlan = (stored: ClaimShardLayout, shard: ClaimShard, index: number) => ClaimShardLayout | undefined
 
+/** Interval at which shards move towards an even distribution, in ms. */
+const moveIntervalMs = 5000
+/** How long a silent process gets no shards, in ms; it might otherwise be chosen again and again. */
+const avoidMs = 60_000
 /** Rounds of a conditional update that meets other writers; there are few, and each round reads anew. */
 const updateRounds = 5
 
@@ -58,6 +62,9 @@
   #stored: StoredLayout = { version: 0, layout: undefined }
   #lastChange: Promise<unknown> = Promise.resolve()
   #isLeaving = false
+  #nextMoveMs = 0
+  /** Until when processes that left a copy without an answer get no shards, in ms. */
+  readonly #avoided = new Map<string, number>()
 
   constructor (options: ClaimNodeOptions) {
     this.#options = options
@@ -104,7 +111,11 @@
     if (this.#stored.layout === undefined && !await this.#create()) return
     for (const shard of this.#shards) shard.retry()
     const gone = await this.#goneProcesses()
-    const plan: ShardPlan = (stored, shard, index) => this.#planTending(stored, shard, index, gone)
+    const nowMs = this.#options.ports.nowMs()
+    const mayMove = nowMs >= this.#nextMoveMs
+    if (mayMove) this.#nextMoveMs = nowMs + moveIntervalMs
+    const plan: ShardPlan = (stored, shard, index) =>
+      this.#planTending(stored, shard, index, gone) ?? (mayMove ? this.#planMove(stored, shard, index) : undefined)
     if (this.#planAll(this.#stored.layout, plan) !== undefined) await this.#change(plan)
   }
 
@@ -178,6 +189,7 @@
     const { self } = this.#options
     const { witness } = stored
     const others = this.#others()
+    if (witness !== undefined && shard.isWitnessSilent) this.#avoided.set(lifeOf(witness), this.#options.ports.nowMs() + avoidMs)
     const isUsable = witness !== undefined && isRegistered(witness, others) && !shard.isWitnessSilent
     if (isUsable) return undefined
     const next = chooseWitness(index, self, others.filter(other => !isSameProcess(other, witness)))
@@ -185,6 +197,22 @@
     return shardLayout(stored.epoch + 1, self, next, Math.ceil(shard.unknownForMs))
   }
 
+  /**
+   * A step towards the owner that the rendezvous hash prefers: it becomes the
+   * witness first, and the owner once it has the whole shard. Without this the
+   * first process of a service would own every shard.
+   */
+  #planMove (stored: ClaimShardLayout, shard: ClaimShard, index: number): ClaimShardLayout | undefined {
+    const { self, ports } = this.#options
+    const registered = ports.processes()
+    const preferred = caretakerOf(index, registered)
+    if (!this.#isOwner(stored, shard) || !shard.isWitnessWhole || preferred === undefined || isSameProcess(preferred, self)) return undefined
+    if ((this.#avoided.get(lifeOf(preferred)) ?? 0) > ports.nowMs()) return undefined
+    const unknownForMs = Math.ceil(shard.unknownForMs)
+    if (!isSameProcess(stored.witness, preferred)) return shardLayout(stored.epoch + 1, self, preferred, unknownForMs)
+    return shardLayout(stored.epoch + 1, preferred, chooseWitness(index, preferred, registered), unknownForMs)
+  }
+
   #planTakeOver (stored: ClaimShardLayout, shard: ClaimShard, index: number): ClaimShardLayout | undefined {
     const { self } = this.#options
     const mayTakeOver = isSameProcess(stored.witness, self) && shard.role === 'witness' && shard.epoch === stored.epoch && shard.isWhole
