Fix claims churn, silent logs, leaving state and settings without effect

Causes and changes: - While a dead process was still registered, the owner of a claim shard chose it as witness again and again, with a platform write each. A process that left a copy without an answer is now passed over for a minute.

--- a/packages/cli/src/node/bin.ts
+++ b/packages/cli/src/node/bin.ts
@@ -1,5 +1,4 @@
 #!/usr/bin/env node
-import './enableLog.ts'
 import { exitCodes } from '../shared/exitCodes.ts'
 import { runCommandLine } from './commandLine.ts'
 
--- a/packages/cli/src/node/enableLog.ts
+++ /dev/null
@@ -1,5 +0,0 @@
-/**
- * Imported first by the binary: roarr reads `ROARR_LOG` when it is loaded and
- * drops every event for good when the variable is not set by then.
- */
-process.env['ROARR_LOG'] = 'true'
--- a/packages/endpoint/src/node/endpointPlugins.ts
+++ b/packages/endpoint/src/node/endpointPlugins.ts
@@ -89,6 +89,8 @@
   readonly tracing?: Tracing
   /** Plug-ins that provide object store, documents and membership for this process. */
   readonly platform: (self: Member) => readonly Plugin[]
+  /** Plugins set up after all others, which therefore drain first. */
+  readonly last?: readonly Plugin[]
 }
 
 export interface Endpoint {
--- a/packages/endpoint/src/node/runEndpoint.ts
+++ b/packages/endpoint/src/node/runEndpoint.ts
@@ -3,7 +3,7 @@
   createRoarrLog, createSpanLineExporter, createStatsdMetrics, createTracing, rejectSettings, resolveSettings, runProcess, silentMetrics,
   SystemTimers, type EventLevel, type Metrics, type Plugin, type Tracing
 } from '@buckthorndrift/kernel'
-import { createDocumentsPlugin, createMembershipPlugin, createObjectStorePlugin } from '@buckthorndrift/platform'
+import { createDocumentsPlugin, createLeavingPlugin, createMembershipPlugin, createObjectStorePlugin } from '@buckthorndrift/platform'
 import type { Member } from '@buckthorndrift/protocol'
 import { endpointSettings, type EndpointSettings } from '../shared/endpointSettings.ts'
 import { startEndpoint } from './endpointPlugins.ts'
@@ -46,7 +46,13 @@
     drainLimitMs: settings.drainLimitMs + handoverMs,
     async start (requestStop) {
       const endpoint = await startEndpoint({
-        settings, timers: new SystemTimers(), log, metrics: openMetrics(settings), tracing, platform: self => platformPlugins(settings, self)
+        settings,
+        timers: new SystemTimers(),
+        log,
+        metrics: openMetrics(settings),
+        tracing,
+        platform: self => platformPlugins(settings, self),
+        last: [createLeavingPlugin()]
       })
       process.stdout.write(`listening data ${endpoint.self.controlUrl}\n`)
       // Control `drain` stops the kernel by itself; the process then has nothing left to do.
--- a/packages/endpoint/src/node/slicesPlugin.ts
+++ b/packages/endpoint/src/node/slicesPlugin.ts
@@ -3,7 +3,7 @@
 import {
   documentsKey, membershipKey, objectStoreKey, type Documents, type Membership, type ObjectStore
 } from '@buckthorndrift/platform'
-import { fencesName, fencesSchema, handoverName, type StoredHandover } from '@buckthorndrift/policy'
+import { fencesName, fencesSchema, handoverName, isHolderOf, type StoredHandover } from '@buckthorndrift/policy'
 import type { EndpointSettings } from '../shared/endpointSettings.ts'
 import { controlPartsKey, peersKey, type Peers } from '../shared/services.ts'
 import type { Gate } from './gate.ts'
@@ -47,9 +47,9 @@
 
 /** Asks the holders of entries that are older than `ageMs` what they have flushed. */
 async function askHolders ({ gate, membership, peers, timers }: Parts, ageMs: number): Promise<void> {
-  const routers = new Map(membership.routers().map(router => [`${router.id}.${router.incarnation}`, router]))
+  const routers = membership.routers()
   await Promise.all(gate.entries.takeOld(timers.monotonicMs(), ageMs).map(async ({ holder, shard }) => {
-    const router = routers.get(holder)
+    const router = routers.find(one => isHolderOf(holder, one))
     if (router === undefined) return
     try {
       gate.entries.prune(holder, shard, await peers.router(router.controlUrl).budget.settledSeq.query({ holder, shard }))
--- a/packages/kernel/src/node/roarrLog.ts
+++ b/packages/kernel/src/node/roarrLog.ts
@@ -1,4 +1,5 @@
 /** The log of a running process: JSON lines on standard output, written by roarr. */
+import './enableRoarr.ts'
 import { Roarr, type Logger } from 'roarr'
 import { eventCatalogue, type EventLevel, type EventName } from '../shared/eventCatalogue.ts'
 import type { Log, LogContext } from '../shared/log.ts'
@@ -13,9 +14,8 @@
   readonly base: LogContext
 }
 
-/** Creates the log of a process. Roarr writes only when `ROARR_LOG` is `true`, so this sets it. */
+/** Creates the log of a process. */
 export function createRoarrLog (options: RoarrLogOptions): Log {
-  process.env['ROARR_LOG'] = 'true'
   return wrap(Roarr.child({ ...options.base }), options.scope, options.level)
 }
 
--- a/packages/platform/src/node/membershipPlugin.ts
+++ b/packages/platform/src/node/membershipPlugin.ts
@@ -3,7 +3,7 @@
 import type { Member } from '@buckthorndrift/protocol'
 import { defaultLeaseTuning, type LeaseTuning } from '../shared/lease.ts'
 import { leasesKey, LeasesService } from '../shared/leases.ts'
-import { membershipKey } from '../shared/membership.ts'
+import { membershipKey, registrationKey } from '../shared/membership.ts'
 import { MembershipService } from '../shared/membershipService.ts'
 import { documentsKey, objectStoreKey } from '../shared/objectStore.ts'
 import { suspicionsKey } from '../shared/suspicions.ts'
@@ -37,11 +37,27 @@
         deregisterMs: options.deregisterMs ?? 3000
       })
       context.provide(membershipKey, membership)
+      context.provide(registrationKey, membership)
       return { ready: () => membership.register(), close: () => membership.deregister() }
     }
   })
 }
 
+/**
+ * Shows the process as leaving when its graceful shutdown starts. It goes last
+ * into the list of plugins, because these are drained in reverse order; the
+ * shutdown does not wait for the platform.
+ */
+export function createLeavingPlugin (): Plugin {
+  return definePlugin({
+    name: 'leaving',
+    setup (context) {
+      const registration = context.use(registrationKey)
+      return { drain () { void registration.announceLeaving() } }
+    }
+  })
+}
+
 export interface LeasesPluginOptions {
   readonly tuning?: Partial<LeaseTuning>
   readonly random?: () => number
--- a/packages/platform/src/shared/__tests__/membership.test.ts
+++ b/packages/platform/src/shared/__tests__/membership.test.ts
@@ -137,6 +137,16 @@
     registry.timers.advance(10_000)
     expect(reachable()).toEqual(['a', 'b'])
   })
+
+  it('shows a process as leaving to the others before it is gone, so that they stop choosing it', async () => {
+    const registry = new Registry()
+    const first = await registry.start(router('a'))
+    const second = await registry.start(router('b'))
+    await registry.until(second.membership.announceLeaving())
+    await registry.run(3000)
+    expect(first.membership.routers().map(({ id, leaving }) => [id, leaving])).toEqual([['a', false], ['b', true]])
+    expect(registry.registered()).toEqual(['a.1', 'b.1'])
+  })
 })
 
 describe('list of VMs', () => {
--- a/packages/platform/src/shared/memberList.ts
+++ b/packages/platform/src/shared/memberList.ts
@@ -31,6 +31,14 @@
   return { members: [...members.filter(member => member.id !== self.id), self] }
 }
 
+/** Marks this incarnation as leaving; `undefined` when it is not listed or marked already. */
+export function withLeaving (object: StoredObject | undefined, self: Member): MemberList | undefined {
+  const members = membersOf(object)
+  const isListed = members.some(member => isSameProcess(member, self) && !member.leaving)
+  if (!isListed) return undefined
+  return { members: members.map(member => isSameProcess(member, self) ? { ...member, leaving: true } : member) }
+}
+
 /** Removes this incarnation only; `undefined` when it is not listed. */
 export function withoutMember (object: StoredObject | undefined, self: Member): MemberList | undefined {
   const members = membersOf(object)
--- a/packages/platform/src/shared/membership.ts
+++ b/packages/platform/src/shared/membership.ts
@@ -17,3 +17,11 @@
 }
 
 export const membershipKey = serviceKey<Membership>('membership')
+
+/** This process's own entry in the registry. */
+export interface Registration {
+  /** Shows this process as leaving; resolves when the registry has it, or the write failed. */
+  announceLeaving (): Promise<void>
+}
+
+export const registrationKey = serviceKey<Registration>('registration')
--- a/packages/platform/src/shared/membershipService.ts
+++ b/packages/platform/src/shared/membershipService.ts
@@ -1,8 +1,8 @@
 /** Registry of processes as one process sees it, and its own registration. */
 import type { Log, TimerService, Unsubscribe } from '@buckthorndrift/kernel'
 import type { Member } from '@buckthorndrift/protocol'
-import { memberListName, membersOf, membersPrefix, withMember, withoutMember, type MemberList } from './memberList.ts'
-import type { Membership } from './membership.ts'
+import { memberListName, membersOf, membersPrefix, withLeaving, withMember, withoutMember, type MemberList } from './memberList.ts'
+import type { Membership, Registration } from './membership.ts'
 import type { Documents, ObjectStore, StoredObject } from './objectStore.ts'
 import type { Suspicions } from './suspicions.ts'
 import { updateObject } from './updateObject.ts'
@@ -25,7 +25,7 @@
 
 type RegistrationState = 'outside' | 'registered' | 'replaced' | 'closed'
 
-export class MembershipService implements Membership {
+export class MembershipService implements Membership, Registration {
   readonly self: Member
   readonly #options: MembershipServiceOptions
   readonly #members = new Map<string, readonly Member[]>()
@@ -76,6 +76,10 @@
     return this.#startRegistration(present => withMember(present, this.self))
   }
 
+  async announceLeaving (): Promise<void> {
+    await this.#update(present => withLeaving(present, this.self))
+  }
+
   /** Takes this incarnation out of the registry; gives up after a limit, and the VM list removes it later. */
   async deregister (): Promise<void> {
     this.#state = 'closed'
--- a/packages/policy/src/shared/claims/__tests__/claims.test.ts
+++ b/packages/policy/src/shared/claims/__tests__/claims.test.ts
@@ -1,6 +1,6 @@
 import fc from 'fast-check'
 import { describe, expect, it } from 'vitest'
-import { ClaimNode, ClaimShard, claimShardOf, createClaimLayout, findClaimPlace, type ClaimCopy, type ClaimProcess } from '../index.ts'
+import { caretakerOf, ClaimNode, ClaimShard, claimShardOf, createClaimLayout, findClaimPlace, type ClaimCopy, type ClaimProcess, type StoredLayout } from '../index.ts'
 import { World } from './claimWorld.ts'
 
 const ids = fc.constantFrom('e0', 'e1', 'e2', 'e3')
@@ -151,4 +151,34 @@
       expect(findClaimPlace(layout, key)).toEqual({ ...layout.shards[claimShardOf(key, 32)], shard: claimShardOf(key, 32) })
     }))
   })
+
+  it('does not raise the epoch without end while the only other process is dead but still registered', async () => {
+    let stored: StoredLayout = { version: 0, layout: undefined }
+    let nowMs = 0
+    const node = new ClaimNode({
+      service: 's',
+      self: caretakerOf(0, [self, peer]) ?? self,
+      shards: 1,
+      retentionMs: 1000,
+      limit: 100,
+      ports: {
+        nowMs: () => nowMs,
+        send: async () => undefined,
+        read: async () => stored,
+        write: async layout => {
+          stored = { version: stored.version + 1, layout }
+          return { kind: 'written', version: stored.version }
+        },
+        processes: () => [self, peer],
+        isGone: async () => false,
+        onChange () {}
+      }
+    })
+    for (let second = 0; second < 30; second += 1) {
+      nowMs += 1000
+      await node.tend()
+      await new Promise(resolve => { setImmediate(resolve) })
+    }
+    expect(stored.layout?.shards[0]?.epoch).toBeLessThan(5)
+  })
 })
--- a/packages/policy/src/shared/claims/claimNode.ts
+++ b/packages/policy/src/shared/claims/claimNode.ts
@@ -142,6 +142,10 @@
     return this.#options.ports.processes().filter(process => process.id !== this.#options.self.id)
   }
 
+  #isAvoided (process: ClaimProcess): boolean {
+    return (this.#avoided.get(lifeOf(process)) ?? 0) > this.#options.ports.nowMs()
+  }
+
   async #answerAsWitness (shard: ClaimShard, request: ClaimRequest): Promise<ClaimAnswer> {
     const held = shard.find(request.claim.keyHash)
     if (held !== undefined) return { kind: 'held', claim: held }
@@ -192,7 +196,8 @@
     if (witness !== undefined && shard.isWitnessSilent) this.#avoided.set(lifeOf(witness), this.#options.ports.nowMs() + avoidMs)
     const isUsable = witness !== undefined && isRegistered(witness, others) && !shard.isWitnessSilent
     if (isUsable) return undefined
-    const next = chooseWitness(index, self, others.filter(other => !isSameProcess(other, witness)))
+    // A process that did not answer may stay registered for a minute; choosing it again would raise the epoch without end.
+    const next = chooseWitness(index, self, others.filter(other => !isSameProcess(other, witness) && !this.#isAvoided(other)))
     if (next === undefined && witness === undefined) return undefined
     return shardLayout(stored.epoch + 1, self, next, Math.ceil(shard.unknownForMs))
   }
@@ -207,7 +212,7 @@
     const registered = ports.processes()
     const preferred = caretakerOf(index, registered)
     if (!this.#isOwner(stored, shard) || !shard.isWitnessWhole || preferred === undefined || isSameProcess(preferred, self)) return undefined
-    if ((this.#avoided.get(lifeOf(preferred)) ?? 0) > ports.nowMs()) return undefined
+    if (this.#isAvoided(preferred)) return undefined
     const unknownForMs = Math.ceil(shard.unknownForMs)
     if (!isSameProcess(stored.witness, preferred)) return shardLayout(stored.epoch + 1, self, preferred, unknownForMs)
     return shardLayout(stored.epoch + 1, preferred, chooseWitness(index, preferred, registered), unknownForMs)
--- a/packages/router/src/node/routerProcess.ts
+++ b/packages/router/src/node/routerProcess.ts
@@ -4,7 +4,7 @@
 import { adminListenerKey, createAdminPlugin, createStoredBudgetsPlugin, openListener, type Listener } from '@buckthorndrift/admin'
 import { startKernel, type Kernel, type Log, type Metrics, type Plugin, type TimerService, type Tracing } from '@buckthorndrift/kernel'
 import {
-  createDocumentsPlugin, createLeasesPlugin, createMembershipPlugin, createObjectStorePlugin, createVmListPlugin
+  createDocumentsPlugin, createLeasesPlugin, createLeavingPlugin, createMembershipPlugin, createObjectStorePlugin, createVmListPlugin
 } from '@buckthorndrift/platform'
 import type { Member } from '@buckthorndrift/protocol'
 import { tlsFilesOf, type ListenerName, type ResolvedRouterSettings, type RouterSettings } from '../shared/routerSettings.ts'
@@ -92,7 +92,7 @@
   const { settings, adminKeys } = resolved
   const tls = tlsFilesOf(settings, 'admin')
   return [
-    createStoredBudgetsPlugin(),
+    createStoredBudgetsPlugin({ shards: settings.budgetShards }),
     createAdminPlugin({
       host: settings.adminHost,
       port: settings.adminPort,
@@ -160,7 +160,8 @@
         controlPlugin({ fleetSecret: settings.fleetSecret, listener: { kind: 'open', serve: control.serve, close: () => control.listener.close() } }),
         ...platformPlugins(settings, self),
         ...requestPlugins(options),
-        ...operatorPlugins(options)
+        ...operatorPlugins(options),
+        createLeavingPlugin()
       ]
     })
     options.onListening?.('admin', kernel.use(adminListenerKey).port)
--- a/packages/router/src/node/runRouter.ts
+++ b/packages/router/src/node/runRouter.ts
@@ -8,7 +8,7 @@
 
 function openMetrics (settings: RouterSettings): Metrics {
   if (settings.statsdHost === '') return silentMetrics
-  return createStatsdMetrics({ host: settings.statsdHost, port: settings.statsdPort, tags: { router: settings.id, failureDomain: settings.failureDomain } })
+  return createStatsdMetrics({ host: settings.statsdHost, port: settings.statsdPort, tags: { router: settings.id, failureDomain: settings.failureDomain, region: settings.region } })
 }
 
 function openTracing (settings: RouterSettings): Tracing {
--- a/packages/router/src/shared/routerSettings.ts
+++ b/packages/router/src/shared/routerSettings.ts
@@ -14,12 +14,10 @@
 
   callerHost: { kind: 'text', summary: 'address of the caller listener', default: '127.0.0.1' },
   callerPort: { kind: 'number', summary: 'port of the caller listener; 0 takes a free one', unit: 'port', min: 0, max: 65_535, default: 8080 },
-  callerUrl: { kind: 'text', summary: 'base URL under which callers reach this router; `auto` takes the listening address', default: 'auto' },
   callerCertificatePath: { kind: 'text', summary: 'PEM file with the certificate chain of the caller listener; plain HTTP without it', default: '' },
   callerKeyPath: { kind: 'text', summary: 'PEM file with the private key of the caller listener', default: '' },
   adminHost: { kind: 'text', summary: 'address of the administration listener', default: '127.0.0.1' },
   adminPort: { kind: 'number', summary: 'port of the administration listener; 0 takes a free one', unit: 'port', min: 0, max: 65_535, default: 8081 },
-  adminUrl: { kind: 'text', summary: 'base URL under which operators reach this router; `auto` takes the listening address', default: 'auto' },
   adminCertificatePath: { kind: 'text', summary: 'PEM file with the certificate chain of the administration listener; plain HTTP without it', default: '' },
   adminKeyPath: { kind: 'text', summary: 'PEM file with the private key of the administration listener', default: '' },
   controlHost: { kind: 'text', summary: 'address of the control listener', default: '127.0.0.1' },
@@ -82,7 +80,7 @@
 }
 
 function urlProblems (settings: RouterSettings): readonly string[] {
-  const names = ['platformUrl', 'callerUrl', 'adminUrl', 'controlUrl'] as const
+  const names = ['platformUrl', 'controlUrl'] as const
   return names.flatMap(name => {
     const value: string = settings[name]
     const isAuto = value === 'auto' && name !== 'platformUrl'
