Remember endpoint processes that left the registry until slices are safe

Cause: a reclaim of a lost router's slices knew of a lost endpoint process only if the reclaiming router itself had seen it vanish within the last hour. After a router's restart, its unflushed requests were not counted: possible overspend after two losses. A leaving process killed before its handover was not counted as lost either, and each reclaim read all handovers ever written.

The registry object now notes each endpoint process that leaves it in the same write, whatever removes it. A reclaim reads the handovers of those only, and counts slices as wholly spent when one is missing. The duty that applies the VM list forgets a note and its handover after two hours of its own clock. The routers' own memory of losses is removed.

Ruled out: a counter of losses in each budget shard, which must not be noted before everything outstanding at the loss is settled and costs a field per holder; and forgetting by wall-clock time.

Spent tokens of a reclaim with a handover are exactly those handed over (70).

--- a/packages/platform/src/shared/__tests__/membership.test.ts
+++ b/packages/platform/src/shared/__tests__/membership.test.ts
@@ -7,7 +7,9 @@
   defaultDocumentsTuning, defaultLeaseTuning, defaultVmListTuning, documentPrefixes, DocumentsService, membersOf, MembershipService, MemoryObjects,
   MemoryObjectStore, Suspicions, VmAbsences, type ListedVm, type MemoryStoreFault
 } from '../../index.ts'
+import { departedMemoryMs } from '../departedEndpoints.ts'
 import { LeasesService } from '../leases.ts'
+import { departedOf, withMember, withoutDeparted, withoutMember, withVmStates } from '../memberList.ts'
 import { VmListDuty } from '../vmListDuty.ts'
 import { flush, settle } from './settle.ts'
 
@@ -138,6 +140,43 @@
     expect(reachable()).toEqual(['a', 'b'])
   })
 
+  it('notes endpoint processes that leave the registry, however they do, and forgets them when told', () => {
+    const endpoint = (id: string, incarnation = '1'): Member => ({ ...router(id, incarnation), role: 'endpoint' })
+    const store = (value: unknown) => ({ name: 'members/d', version: 1, value })
+    let list = store(withMember(undefined, endpoint('e1')))
+    list = store(withMember(list, endpoint('e2')))
+    list = store(withMember(list, router('r1')))
+    list = store(withMember(list, endpoint('e1', '2')))
+    list = store(withVmStates(list, new Set(['vm-e2', 'vm-r1']), new Set()))
+    list = store(withoutMember(list, endpoint('e1', '2')))
+    const keys = () => departedOf(list).map(({ id, incarnation }) => `${id}.${incarnation}`)
+    expect(keys()).toEqual(['e1.1', 'e2.1', 'e1.2'])
+    list = store(withMember(list, endpoint('e1', '2')))
+    expect(keys()).toEqual(['e1.1', 'e2.1'])
+    list = store(withoutDeparted(list, [{ id: 'e1', incarnation: '1' }]))
+    expect(keys()).toEqual(['e2.1'])
+  })
+
+  it('forgets a departed endpoint process and its handover after two hours, not before', async () => {
+    const registry = new Registry()
+    const only = await registry.start(router('a'))
+    const { store, documents } = only
+    const lease = { fencingToken: () => 1, release: async () => {} }
+    const duty = new VmListDuty({ lease, store, documents, timers: registry.timers, log: silentLog, random: registry.random, tuning: defaultVmListTuning })
+    registry.list({ vm: 'vm-a', state: 'live' })
+    const present = registry.objects.entries.get('members/d')
+    const members = JSON.parse(present?.text ?? '{}') as Record<string, unknown>
+    await registry.until(store.write('members/d', { ...members, departed: [{ id: 'e1', incarnation: '1' }] }, present?.version ?? 0))
+    await registry.until(store.write('handovers/e1.1', { endpointId: 'e1', incarnation: '1', holders: {} }, 0))
+    const isRemembered = () => registry.objects.entries.has('handovers/e1.1') || (registry.objects.entries.get('members/d')?.text ?? '').includes('"e1"')
+    await registry.run(60_000)
+    expect(isRemembered()).toBe(true)
+    registry.timers.advance(departedMemoryMs)
+    await registry.run(10_000)
+    expect(isRemembered()).toBe(false)
+    duty.stop()
+  })
+
   it('shows a process as leaving to the others before it is gone, so that they stop choosing it', async () => {
     const registry = new Registry()
     const first = await registry.start(router('a'))
--- a/packages/platform/src/shared/vmListDuty.ts
+++ b/packages/platform/src/shared/vmListDuty.ts
@@ -1,7 +1,9 @@
 /** Duty of one router: applies the platform's list of VMs to the registry. */
 import type { Log, TimerService } from '@buckthorndrift/kernel'
 import type { Lease } from './lease.ts'
-import { membersOf, membersPrefix, withVmStates } from './memberList.ts'
+import { handoverName } from '@buckthorndrift/policy'
+import { DepartedEndpoints } from './departedEndpoints.ts'
+import { departedOf, membersOf, membersPrefix, withoutDeparted, withVmStates, type DepartedEndpoint } from './memberList.ts'
 import type { Documents, ListedVm, ObjectStore, StoredObject } from './objectStore.ts'
 import { updateObject } from './updateObject.ts'
 
@@ -65,6 +67,7 @@
   readonly #options: VmListDutyOptions
   readonly #lists = new Map<string, StoredObject>()
   #absences: VmAbsences
+  #departed = new DepartedEndpoints()
   #isEmptyNoted = false
   #isStopped = false
   #stop: () => void
@@ -93,8 +96,10 @@
     if (lease.fencingToken() === undefined) {
       // Absences seen under an earlier lease say nothing about the time in between.
       this.#absences = new VmAbsences(tuning)
+      this.#departed = new DepartedEndpoints()
       return
     }
+    await this.#forgetDeparted()
     const list = await store.vms()
     if (list.isErr() || !this.#isUsable(list.value)) return
     const memberVms = [...this.#lists.values()].flatMap(object => membersOf(object).map(member => member.vm))
@@ -103,6 +108,27 @@
     for (const object of [...this.#lists.values()]) await this.#apply(object, gone, leaving)
   }
 
+  /** Their handovers go first: a departed process without one counts as lost, which is safe. */
+  async #forgetDeparted (): Promise<void> {
+    const objects = [...this.#lists.values()]
+    const due = this.#departed.due(objects.flatMap(departedOf), this.#options.timers.monotonicMs())
+    if (due.length === 0) return
+    for (const one of due) if (!await this.#removeHandover(one)) return
+    for (const object of objects) {
+      const result = await updateObject(this.#options.store, object.name, present => withoutDeparted(present, due), { known: object })
+      if (result.isOk() && result.value.object !== undefined) this.#options.documents.learn(result.value.object)
+    }
+  }
+
+  async #removeHandover ({ id, incarnation }: DepartedEndpoint): Promise<boolean> {
+    const { store } = this.#options
+    const name = handoverName(id, incarnation)
+    const present = await store.read(name)
+    if (present.isErr()) return false
+    if (present.value === undefined) return true
+    return (await store.remove(name, present.value.version)).isOk()
+  }
+
   /** An empty list is taken for a fault of the platform: it would remove the whole fleet. */
   #isUsable (list: readonly ListedVm[]): boolean {
     if (list.length === 0 && !this.#isEmptyNoted) this.#options.log.event('vmListEmpty')
--- a/packages/router/src/node/budget/__tests__/fleet.test.ts
+++ b/packages/router/src/node/budget/__tests__/fleet.test.ts
@@ -5,9 +5,9 @@
 import { definePlugin, silentLog, silentMetrics, startKernel, SystemTimers, type Kernel } from '@buckthorndrift/kernel'
 import {
   createBudgetOn, documentsKey, membershipKey, MemoryObjects, MemoryObjectStore, memberListName, objectStoreKey, readBudget,
-  type Documents, type Membership
+  type DepartedEndpoint, type Documents, type Membership
 } from '@buckthorndrift/platform'
-import { homesOf, shardOf, type FenceEntry } from '@buckthorndrift/policy'
+import { handoverName, homesOf, shardOf, type FenceEntry } from '@buckthorndrift/policy'
 import { createControlHandler, createEndpointControl, createRouterControl, type BudgetHandlers, type Member, type Reservation } from '@buckthorndrift/protocol'
 import { budgetServiceKey, controlRegistryKey, createBudgetPlugin, type BudgetService } from '../../../index.ts'
 
@@ -35,6 +35,7 @@
   readonly forgotten: string[] = []
   entries: FenceEntry[] = []
   members: Member[] = []
+  departed: DepartedEndpoint[] = []
 
   async listen (handle: (request: Request) => Promise<Response>): Promise<readonly [Server, string]> {
     const server = createServer(toNodeHandler(new H3().all('/trpc/**', event => handle(event.req))))
@@ -112,7 +113,7 @@
   async #writeMembers (): Promise<void> {
     const name = memberListName('all')
     const present = (await this.store.read(name)).unwrap()
-    await this.store.write(name, { members: this.members }, present?.version ?? 0)
+    await this.store.write(name, { members: this.members, departed: this.departed }, present?.version ?? 0)
     for (const listener of this.listeners) listener()
   }
 
@@ -191,6 +192,32 @@
     await expect.poll(() => forgotten, { timeout: 5000 }).toContain(`${home}.a`)
     expect((await budgets.reserve('b1', 800, 2000)).isOk()).toBe(true)
   })
+
+  it('counts a slice as wholly spent when an endpoint was lost that no living router ever saw, since what it ran is not known', async () => {
+    const { store } = await start()
+    const home = testFleet.collectorOf('b1')
+    const { budgets } = testFleet.otherThan(home)
+    await budgets.reserve('b1', 300, 2000)
+    testFleet.departed = [{ id: 'e0', incarnation: 'z' }]
+    await testFleet.kill(home)
+    await expect.poll(async () => (await budgets.reserve('b1', 1, 2000)).isOk(), { timeout: 20_000 }).toBe(true)
+    // No endpoint has an entry; without the loss the reservation would count as never run.
+    await expect.poll(async () => (await readBudget(store, 'b1')).unwrap()?.spentTokens, { timeout: 20_000 }).toBeGreaterThanOrEqual(300)
+  })
+
+  it('counts what a departed endpoint handed over', async () => {
+    const { store } = await start()
+    const home = testFleet.collectorOf('b1')
+    const { budgets } = testFleet.otherThan(home)
+    const { reservation: { shard, seq } } = (await budgets.reserve('b1', 300, 2000)).unwrap()
+    testFleet.departed = [{ id: 'e0', incarnation: 'z' }]
+    const entries = [{ shard, budget: 'b1', seq, state: 'settled', tokens: 70 }]
+    await store.write(handoverName('e0', 'z'), { endpointId: 'e0', incarnation: 'z', holders: { [`${home}.a`]: entries } }, 0)
+    await testFleet.kill(home)
+    await expect.poll(async () => (await budgets.reserve('b1', 1, 2000)).isOk(), { timeout: 20_000 }).toBe(true)
+    await expect.poll(async () => (await readBudget(store, 'b1')).unwrap()?.spentTokens, { timeout: 20_000 }).toBe(70)
+  })
+
   it('reclaims slices of a dead home although nobody asks for its budgets', async () => {
     const { store } = await start()
     const home = testFleet.collectorOf('b1')
--- a/packages/router/src/node/budget/plugin.ts
+++ b/packages/router/src/node/budget/plugin.ts
@@ -5,7 +5,6 @@
 import { budgetServiceKey, controlRegistryKey } from '../../shared/services.ts'
 import { BudgetHome } from './budgetHome.ts'
 import { BudgetRoutes } from './budgetRoutes.ts'
-import { EndpointLosses } from './endpointLosses.ts'
 import { LostHolders } from './lostHolders.ts'
 import { PeerCalls } from './peerCalls.ts'
 import { ReclaimRunner } from './reclaimRunner.ts'
@@ -44,7 +43,6 @@
 /** Starts the search for lost holders and the reclaims; returns what stops it. */
 function startReclaims ({ context, options, home, routes }: Parts, fleet: Fleet): () => void {
   const membership = context.use(membershipKey)
-  const losses = new EndpointLosses()
   const reclaims = new Map<string, ReclaimRunner>()
   const start = async (holder: string, firstShards: readonly number[]) => {
     const shards = await routes.shardCount()
@@ -61,7 +59,6 @@
       fleetSecret: fleet.fleetSecret,
       timeoutMs: fleet.controlTimeoutMs,
       random: options.random ?? Math.random,
-      hasLostEndpoint: (registered, liveVms, handovers) => losses.hasLoss(registered, liveVms, handovers),
       onDone: () => { reclaims.delete(holder) }
     }))
   }
@@ -81,7 +78,6 @@
   })
   home.watchHolders(lostHolders)
   return context.timers.every(lostTickMs, () => {
-    losses.look(membership, context.timers.monotonicMs())
     lostHolders.tick(context.timers.monotonicMs())
     for (const reclaim of reclaims.values()) reclaim.tick()
   })
--- a/packages/router/src/node/budget/reclaimRunner.ts
+++ b/packages/router/src/node/budget/reclaimRunner.ts
@@ -1,8 +1,8 @@
 /** Carries the steps of a reclaim out on the platform and the endpoint processes. */
 import { createEndpointClient } from '@buckthorndrift/protocol'
-import { membersOf, membersPrefix, updateObject, type Documents, type ObjectStore } from '@buckthorndrift/platform'
+import { departedOf, membersOf, membersPrefix, updateObject, type DepartedEndpoint, type Documents, type ObjectStore } from '@buckthorndrift/platform'
 import {
-  fencesName, fencesSchema, handoverPrefix, handoverSchema, HolderReclaim,
+  fencesName, fencesSchema, handoverName, handoverSchema, HolderReclaim,
   type ReclaimEffect, type ReclaimEndpoint, type ReclaimHandover, type ReclaimLimits, type ReclaimRegistry
 } from '@buckthorndrift/policy'
 import type { Log, TimerService } from '@buckthorndrift/kernel'
@@ -21,7 +21,6 @@
   readonly timeoutMs: number
   /** Numbers from 0 below 1. */
   readonly random: () => number
-  hasLostEndpoint (registered: readonly ReclaimEndpoint[], liveVms: ReadonlySet<string>, handovers: readonly ReclaimHandover[]): boolean
   onDone (): void
 }
 
@@ -112,14 +111,27 @@
   /** Reads the registry from the platform and not from documents, which may be older than the fence. */
   async #readRegistry (): Promise<ReclaimRegistry | undefined> {
     const members = await this.#readAll(membersPrefix)
-    const handedOver = await this.#readAll(handoverPrefix)
     const vms = await this.#options.store.vms()
-    if (members === undefined || handedOver === undefined || vms.isErr()) return undefined
+    if (members === undefined || vms.isErr()) return undefined
+    const departed = members.flatMap(object => departedOf(object))
+    const handedOver = await this.#readHandovers(departed)
+    if (handedOver === undefined) return undefined
     const endpoints = members.flatMap(object => membersOf(object)).filter(member => member.role === 'endpoint')
     for (const endpoint of endpoints) this.#urls.set(endpoint.id, endpoint.controlUrl)
-    const handovers = handedOver.flatMap(object => this.#handoverOf(object.value))
+    const handovers = handedOver.flatMap(value => this.#handoverOf(value))
     const liveVms = new Set(vms.value.map(({ vm }) => vm))
-    return { endpoints, liveVms, handovers, hasLostEndpoint: this.#options.hasLostEndpoint(endpoints, liveVms, handovers) }
+    // What a process ran that left no handover is not known.
+    return { endpoints, liveVms, handovers, hasLostEndpoint: handovers.length < departed.length }
+  }
+
+  async #readHandovers (departed: readonly DepartedEndpoint[]): Promise<readonly unknown[] | undefined> {
+    const values: unknown[] = []
+    for (const { id, incarnation } of departed) {
+      const present = await this.#options.store.read(handoverName(id, incarnation))
+      if (present.isErr()) return undefined
+      if (present.value !== undefined) values.push(present.value.value)
+    }
+    return values
   }
 
   #handoverOf (value: unknown): readonly ReclaimHandover[] {
