--- a/packages/admin/src/index.ts
+++ b/packages/admin/src/index.ts
@@ -2,7 +2,7 @@
 export { adminListenerKey, budgetAdministrationKey, createAdminPlugin, type AdminListener, type AdminOptions } from './node/adminPlugin.ts'
 export { createStoredBudgetsPlugin, type StoredBudgetsOptions } from './node/storedBudgetsPlugin.ts'
 export { createAdminClient, type AdminCallFailure, type AdminClient, type AdminClientOptions } from './node/adminClient.ts'
-export { openListener, type Listener, type ListenerOptions, type TlsFiles } from './node/listener.ts'
+export { createServer, openListener, type Listener, type ListenerOptions, type TlsFiles } from './node/listener.ts'
 export { parseAdminKeys, type AdminKey } from './shared/adminKeys.ts'
 export { createOpenApi } from './shared/openApi.ts'
 export { type CallInputOf, type InputOf, type OperationName, type OutputOf } from './shared/operations.ts'
--- a/packages/admin/src/node/adminPlugin.ts
+++ b/packages/admin/src/node/adminPlugin.ts
@@ -15,12 +15,12 @@
 import { OrganisationStore } from './organisationStore.ts'
 import { createProcessControl } from './processControl.ts'
 
-/** Budgets as another plug-in stores them. */
+/** Budgets as another plugin stores them. */
 export const budgetAdministrationKey = serviceKey<BudgetAdministration>('budgetAdministration')
 
 /** The open administration listener. */
 export interface AdminListener {
-  /** Port that is listened on; 0 until the plug-in is ready. */
+  /** Port that is listened on; 0 until the plugin is ready. */
   readonly port: number
 }
 export const adminListenerKey = serviceKey<AdminListener>('adminListener')
--- a/packages/admin/src/node/listener.ts
+++ b/packages/admin/src/node/listener.ts
@@ -36,21 +36,25 @@
 /** How often Node.js checks connections against the time limits. */
 const checkIntervalMs = 1000
 
-async function createServer (options: ListenerOptions, listen: RequestListener): Promise<Server> {
-  const limits: ServerOptions = {
+/** Creates a server, with TLS when files are given. Rejects when one cannot be read. */
+export async function createServer (options: ServerOptions, tls: TlsFiles | undefined, listen: RequestListener): Promise<Server> {
+  if (tls === undefined) return createHttpServer(options, listen)
+  const [cert, key] = await Promise.all([readFile(tls.certificatePath), readFile(tls.keyPath)])
+  return createHttpsServer({ ...options, cert, key }, listen)
+}
+
+function serverOptionsOf (options: ListenerOptions): ServerOptions {
+  return {
     headersTimeout: options.headersTimeoutMs,
     requestTimeout: options.requestTimeoutMs,
     connectionsCheckingInterval: checkIntervalMs,
     maxHeaderSize: options.maxHeaderBytes
   }
-  if (options.tls === undefined) return createHttpServer(limits, listen)
-  const [cert, key] = await Promise.all([readFile(options.tls.certificatePath), readFile(options.tls.keyPath)])
-  return createHttpsServer({ ...limits, cert, key }, listen)
 }
 
 /** Opens a listener. Rejects when the address is taken or a TLS file cannot be read. */
 export async function openListener (options: ListenerOptions, listen: RequestListener): Promise<Listener> {
-  const server = await createServer(options, listen)
+  const server = await createServer(serverOptionsOf(options), options.tls, listen)
   server.maxConnections = options.maxConnections
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject)
--- a/packages/bench/src/node/budget/fleetModel.ts
+++ b/packages/bench/src/node/budget/fleetModel.ts
@@ -1,7 +1,7 @@
 /** The simulated fleet of the budget benchmark: places, delays, partition and death, the platform, and what truly ran. */
 import { createBudget, emptyShard, shardOf, type BudgetShard, type FenceEntry, type ReadOutcome, type WriteOutcome } from '@buckthorndrift/policy'
 import { encodeShard } from '@buckthorndrift/platform'
-import { EventQueue } from './eventQueue.ts'
+import { EventQueue } from '../../shared/eventQueue.ts'
 
 export interface FleetOptions {
   readonly routers: number
--- a/packages/bench/src/node/config/holders.ts
+++ b/packages/bench/src/node/config/holders.ts
@@ -5,7 +5,7 @@
   type HttpObjectStore
 } from '@buckthorndrift/platform'
 import type { DocumentHandlers, Member } from '@buckthorndrift/protocol'
-import { controlPlugin, controlRegistryKey } from '@buckthorndrift/router'
+import { createControlPlugin, controlRegistryKey } from '@buckthorndrift/router'
 import type { Random } from '../../shared/random.ts'
 
 /** How the holders learn of changes. */
@@ -78,7 +78,7 @@
   const address = { port: 0 }
   const self = createSelf(index, options, address)
   const control: readonly Plugin[] = self.role === 'router'
-    ? [controlPlugin({ fleetSecret, listener: { kind: 'own', host, port: 0, onListening: port => { address.port = port } } })]
+    ? [createControlPlugin({ fleetSecret, listener: { kind: 'own', host, port: 0, onListening: port => { address.port = port } } })]
     : []
   const random = (): number => options.random.next()
   const kernel = await startKernel({
--- a/packages/bench/src/node/processes/routerProcess.ts
+++ b/packages/bench/src/node/processes/routerProcess.ts
@@ -3,7 +3,7 @@
 import { createTracing, definePlugin, silentLog, silentMetrics, startKernel, SystemTimers } from '@buckthorndrift/kernel'
 import type { FleetConfig } from '@buckthorndrift/policy'
 import type { Member } from '@buckthorndrift/protocol'
-import { budgetServiceKey, callerPlugin, configServiceKey, controlPlugin, recordServiceKey, versionServiceKey } from '@buckthorndrift/router'
+import { budgetServiceKey, createCallerPlugin, configServiceKey, createControlPlugin, recordServiceKey, versionServiceKey } from '@buckthorndrift/router'
 import { callerKey, fleetSecret, version, type Started } from './messages.ts'
 import { platformFakes } from './platformFakes.ts'
 
@@ -75,8 +75,8 @@
     plugins: [
       platformFakes(self, endpoints),
       services,
-      controlPlugin({ fleetSecret, listener: { kind: 'own', ...address } }),
-      callerPlugin({ ...address, fleetSecret, tracing, random: Math.random, onListening: bound => { port = bound } })
+      createControlPlugin({ fleetSecret, listener: { kind: 'own', ...address } }),
+      createCallerPlugin({ ...address, fleetSecret, tracing, random: Math.random, onListening: bound => { port = bound } })
     ]
   })
   return { url: `http://127.0.0.1:${port}` }
--- a/packages/bench/src/node/routing/simulatedEndpoint.ts
+++ b/packages/bench/src/node/routing/simulatedEndpoint.ts
@@ -1,6 +1,6 @@
 /** A model endpoint in simulated time: a bounded queue, a concurrency limit and a prompt-prefix cache. */
 import { LRUCache } from 'lru-cache'
-import type { EventQueue } from './eventQueue.ts'
+import type { EventQueue } from '../../shared/eventQueue.ts'
 
 export interface EndpointModel {
   readonly limit: number
--- a/packages/bench/src/node/routing/simulation.ts
+++ b/packages/bench/src/node/routing/simulation.ts
@@ -1,7 +1,7 @@
 /** Routers and model endpoints in simulated time, with the real decision logic. */
 import { build } from 'hdr-histogram-js'
 import { decideRetry, defaultRetryBudget, notRun, RetryBudget, type Hasher } from '@buckthorndrift/policy'
-import { EventQueue } from './eventQueue.ts'
+import { EventQueue } from '../../shared/eventQueue.ts'
 import { createPolicy, type EndpointView, type Policy, type PolicyName } from './policies.ts'
 import { createRandom, type Random } from '../../shared/random.ts'
 import { SimulatedEndpoint, type EndpointModel } from './simulatedEndpoint.ts'
@@ -90,7 +90,7 @@
   run (): SimulationResult {
     const { policy, load, durationMs } = this.#options
     this.#arrive(1 / (load * capacityPerMs()))
-    this.#events.run(durationMs)
+    this.#events.runUntil(durationMs)
     return {
       policy,
       load,
--- a/packages/endpoint/src/node/endpointPlugins.ts
+++ b/packages/endpoint/src/node/endpointPlugins.ts
@@ -1,4 +1,4 @@
-/** The plug-ins of an endpoint process, and its start in process. */
+/** The plugins of an endpoint process, and its start in process. */
 import { randomUUID } from 'node:crypto'
 import {
   definePlugin, silentLog, silentMetrics, startKernel, type Kernel, type Log, type Metrics, type Plugin, type TimerService, type Tracing
@@ -63,7 +63,7 @@
 }
 
 /**
- * Plug-ins of the endpoint process, to be set up after those that provide
+ * Plugins of the endpoint process, to be set up after those that provide
  * object store, documents and membership. The process is registered first,
  * reads the fences second, and accepts calls third.
  */
@@ -87,7 +87,7 @@
   readonly log?: Log
   readonly metrics?: Metrics
   readonly tracing?: Tracing
-  /** Plug-ins that provide object store, documents and membership for this process. */
+  /** Plugins that provide object store, documents and membership for this process. */
   readonly platform: (self: Member) => readonly Plugin[]
   /** Plugins set up after all others, which therefore drain first. */
   readonly last?: readonly Plugin[]
--- a/packages/endpoint/src/shared/services.ts
+++ b/packages/endpoint/src/shared/services.ts
@@ -1,8 +1,8 @@
-/** Services that the plug-ins of an endpoint process offer to each other. */
+/** Services that the plugins of an endpoint process offer to each other. */
 import { serviceKey } from '@buckthorndrift/kernel'
 import type { EndpointClient, EndpointControlHandlers, EndpointRef, Member, RouterClient } from '@buckthorndrift/protocol'
 
-/** Handlers of the control part; each plug-in sets its own in `setup`. */
+/** Handlers of the control part; each plugin sets its own in `setup`. */
 export interface ControlParts {
   set<Part extends keyof EndpointControlHandlers> (part: Part, handlers: EndpointControlHandlers[Part]): void
   all (): EndpointControlHandlers
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -1,4 +1,4 @@
-/** Kernel of the processes: plug-ins, tasks, timers, logs, metrics, traces, settings. */
+/** Kernel of the processes: plugins, tasks, timers, logs, metrics, traces, settings. */
 export { assertNever } from './shared/assertNever.ts'
 export { type TimerService, type Unsubscribe } from './shared/timers.ts'
 export { ManualTimers } from './shared/manualTimers.ts'
--- a/packages/kernel/src/shared/kernel.ts
+++ b/packages/kernel/src/shared/kernel.ts
@@ -1,4 +1,4 @@
-/** The kernel: sets plug-ins up in order and stops them in reverse order. */
+/** The kernel: sets plugins up in order and stops them in reverse order. */
 import type { Log } from './log.ts'
 import type { Metrics } from './metrics.ts'
 import type { Plugin, PluginContext, PluginHooks, ServiceKey } from './plugin.ts'
@@ -12,20 +12,20 @@
 }
 
 export interface Kernel {
-  /** Service offered by a plug-in. Throws when there is none. */
+  /** Service offered by a plugin. Throws when there is none. */
   use<Service> (key: ServiceKey<Service>): Service
   /** Graceful shutdown: drains, then closes. Later calls return the same promise. */
   stop (): Promise<void>
 }
 
-/** Sets up all plug-ins, then makes them ready. A plug-in that throws closes those before it. */
+/** Sets up all plugins, then makes them ready. A plugin that throws closes those before it. */
 export async function startKernel (options: KernelOptions): Promise<Kernel> {
   const services = new Map<string, unknown>()
   const started: PluginHooks[] = []
   let stopping: Promise<void> | undefined
 
   function use<Service> (key: ServiceKey<Service>): Service {
-    if (!services.has(key.name)) throw new Error(`no plug-in provides ${key.name}`)
+    if (!services.has(key.name)) throw new Error(`no plugin provides ${key.name}`)
     return services.get(key.name) as Service
   }
 
--- a/packages/platform/src/node/__tests__/plugins.test.ts
+++ b/packages/platform/src/node/__tests__/plugins.test.ts
@@ -15,7 +15,7 @@
   stop (): Promise<void>
 }
 
-describe('plug-ins of the platform package', () => {
+describe('plugins of the platform package', () => {
   let api: ObjectApi
   let running: Running[] = []
   beforeEach(async () => { api = await startObjectApi({ latencyMs: 1, vmLagMs: 0 }) })
--- a/packages/platform/src/node/membershipPlugin.ts
+++ b/packages/platform/src/node/membershipPlugin.ts
@@ -1,4 +1,4 @@
-/** Plug-ins for the registry of processes, leases, and the list of VMs. */
+/** Plugins for the registry of processes, leases, and the list of VMs. */
 import { definePlugin, type Plugin } from '@buckthorndrift/kernel'
 import type { Member } from '@buckthorndrift/protocol'
 import { defaultLeaseTuning, type LeaseTuning } from '../shared/lease.ts'
@@ -18,7 +18,7 @@
 }
 
 /**
- * Provides `membershipKey`; needs `objectStoreKey` and the documents plug-in.
+ * Provides `membershipKey`; needs `objectStoreKey` and the documents plugin.
  * Its `ready` resolves once the process is registered, its `close` takes it
  * out of the registry.
  */
@@ -87,7 +87,7 @@
   readonly random?: () => number
 }
 
-/** Duty of the lease `leases/vmList` that routers campaign for; needs `leasesKey` and the documents plug-in. */
+/** Duty of the lease `leases/vmList` that routers campaign for; needs `leasesKey` and the documents plugin. */
 export function createVmListPlugin (options: VmListPluginOptions = {}): Plugin {
   return definePlugin({
     name: 'vmList',
--- a/packages/platform/src/node/objectStorePlugin.ts
+++ b/packages/platform/src/node/objectStorePlugin.ts
@@ -1,4 +1,4 @@
-/** Plug-in that offers the platform's object API to the other plug-ins. */
+/** Plugin that offers the platform's object API to the other plugins. */
 import { definePlugin, type Plugin } from '@buckthorndrift/kernel'
 import { objectStoreKey } from '../shared/objectStore.ts'
 import { createHttpObjectStore, type HttpObjectStoreOptions } from './httpObjectStore.ts'
--- a/packages/protocol/src/node/endpointControl.ts
+++ b/packages/protocol/src/node/endpointControl.ts
@@ -1,4 +1,4 @@
-/** Control router of an endpoint process; its plug-ins supply the handlers. */
+/** Control router of an endpoint process; its plugins supply the handlers. */
 import {
   acknowledgeRecordsInput, claimInput, claimOutput, fenceInput, fenceOutput, orderInput, orderOutput,
   replicateClaimsInput, replicateClaimsOutput, takeOverInput,
--- a/packages/protocol/src/node/routerControl.ts
+++ b/packages/protocol/src/node/routerControl.ts
@@ -1,4 +1,4 @@
-/** Control router of a router process; its plug-ins supply the handlers. */
+/** Control router of a router process; its plugins supply the handlers. */
 import { z } from 'zod'
 import {
   crashReportInput, exchangeInput, exchangeOutput, handOverRecordsInput, recallInput, replicateAccountsInput,
--- a/packages/router/src/node/__tests__/routerRig.ts
+++ b/packages/router/src/node/__tests__/routerRig.ts
@@ -1,4 +1,4 @@
-/** A router's caller path on real sockets with fakes for the services of other plug-ins. */
+/** A router's caller path on real sockets with fakes for the services of other plugins. */
 import { randomBytes } from 'node:crypto'
 import { Err, Ok } from 'ts-results-es'
 import { createTracing, definePlugin, silentLog, silentMetrics, startKernel, SystemTimers, type Kernel, type Tracing } from '@buckthorndrift/kernel'
@@ -6,7 +6,7 @@
 import type { ClaimLayout, ClaimProcess, Failure, FleetConfig } from '@buckthorndrift/policy'
 import type { BillingRecord, Member } from '@buckthorndrift/protocol'
 import {
-  budgetServiceKey, callerPlugin, configServiceKey, controlPlugin, recordServiceKey, versionServiceKey,
+  budgetServiceKey, createCallerPlugin, configServiceKey, createControlPlugin, recordServiceKey, versionServiceKey,
   type CallerSettings, type RefusalDraft
 } from '../../index.ts'
 import type { FakeEndpoint } from './fakeEndpoint.ts'
@@ -81,7 +81,7 @@
   readonly tracing?: Tracing
 }
 
-/** Starts the plug-ins of the caller path. */
+/** Starts the plugins of the caller path. */
 export async function startRig ({ endpoints, settings = {}, routers = [], tracing = createTracing({ serviceName: 'router' }) }: RigOptions): Promise<Rig> {
   const { documents, store, objects } = fakePlatform()
   const owner = endpoints[0]?.member
@@ -154,8 +154,8 @@
     metrics: silentMetrics,
     plugins: [
       fakes,
-      controlPlugin({ fleetSecret: options.fleetSecret, listener: { kind: 'own', host: options.host, port: options.port, onListening: port => { ports.control = port } } }),
-      callerPlugin({ ...options, settings, random: Math.random, tracing, onListening: port => { ports.caller = port } })
+      createControlPlugin({ fleetSecret: options.fleetSecret, listener: { kind: 'own', host: options.host, port: options.port, onListening: port => { ports.control = port } } }),
+      createCallerPlugin({ ...options, settings, random: Math.random, tracing, onListening: port => { ports.caller = port } })
     ]
   })
   return Object.assign(rig, {
--- a/packages/router/src/node/callers/callerPlugin.ts
+++ b/packages/router/src/node/callers/callerPlugin.ts
@@ -2,12 +2,12 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import { fromNodeHandler, H3, toNodeHandler, type EventHandler } from 'h3'
-import type { TlsFiles } from '@buckthorndrift/admin'
+import { createServer, type TlsFiles } from '@buckthorndrift/admin'
 import { definePlugin, type Plugin, type PluginContext, type Tracing } from '@buckthorndrift/kernel'
 import { defaultCallerSettings, type CallerSettings } from '../../shared/callerSettings.ts'
 import { configServiceKey, recordServiceKey } from '../../shared/services.ts'
 import { createForwarding } from '../forward/forwarding.ts'
-import { createListener, finishListening, listen, stopListening } from '../listening.ts'
+import { finishListening, listen, stopListening } from '../listening.ts'
 import { CallerHandler } from './callerHandler.ts'
 
 export interface CallerPluginOptions {
@@ -42,7 +42,7 @@
     .post('/v1/chat/completions', nodeHandler((request, response) => handler.chat(request, response)))
     .all('/services/**', nodeHandler((request, response) => handler.service(request, response)))
     .all('/**', nodeHandler((request, response) => handler.unknown(request, response)))
-  const server = await createListener({
+  const server = await createServer({
     maxHeaderSize: settings.maxHeaderBytes,
     headersTimeout: settings.headersTimeoutMs,
     requestTimeout: settings.requestTimeoutMs,
@@ -55,8 +55,8 @@
   return server
 }
 
-/** Creates the plug-in; it uses budget, records, configuration, versions, membership, documents and the control registry. */
-export function callerPlugin (options: CallerPluginOptions): Plugin {
+/** Creates the plugin; it uses budget, records, configuration, versions, membership, documents and the control registry. */
+export function createCallerPlugin (options: CallerPluginOptions): Plugin {
   return definePlugin({
     name: 'callers',
     async setup (context: PluginContext) {
--- a/packages/router/src/node/control/controlPlugin.ts
+++ b/packages/router/src/node/control/controlPlugin.ts
@@ -2,11 +2,11 @@
 import type { RequestListener } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import { H3, toNodeHandler } from 'h3'
-import type { TlsFiles } from '@buckthorndrift/admin'
+import { createServer, type TlsFiles } from '@buckthorndrift/admin'
 import { definePlugin, type Plugin } from '@buckthorndrift/kernel'
 import { controlPath, createControlHandler, createRouterControl } from '@buckthorndrift/protocol'
 import { controlRegistryKey } from '../../shared/services.ts'
-import { createListener, listen, stopListening } from '../listening.ts'
+import { listen, stopListening } from '../listening.ts'
 import { HandlerRegistry } from './handlerRegistry.ts'
 
 export interface ControlPluginOptions {
@@ -33,8 +33,8 @@
 const headersTimeoutMs = 10_000
 const requestTimeoutMs = 30_000
 
-/** Creates the plug-in; it provides the `ControlRegistry`. */
-export function controlPlugin (options: ControlPluginOptions): Plugin {
+/** Creates the plugin; it provides the `ControlRegistry`. */
+export function createControlPlugin (options: ControlPluginOptions): Plugin {
   return definePlugin({
     name: 'control',
     async setup (context) {
@@ -45,7 +45,7 @@
       const handler = toNodeHandler(app)
       const { listener } = options
       if (listener.kind === 'open') return { ready () { listener.serve(handler) }, close: () => listener.close() }
-      const server = await createListener({
+      const server = await createServer({
         maxHeaderSize: maxHeaderBytes, headersTimeout: headersTimeoutMs, requestTimeout: requestTimeoutMs
       }, listener.tls, handler)
       return {
--- a/packages/router/src/node/control/handlerRegistry.ts
+++ b/packages/router/src/node/control/handlerRegistry.ts
@@ -1,4 +1,4 @@
-/** Handlers of the control listener, registered by the plug-ins. */
+/** Handlers of the control listener, registered by the plugins. */
 import { TRPCError } from '@trpc/server'
 import type { RouterControlHandlers } from '@buckthorndrift/protocol'
 import type { ControlRegistry } from '../../shared/services.ts'
@@ -32,7 +32,7 @@
   #part<Name extends Part> (part: Name): RouterControlHandlers[Name] {
     const call = (method: string): Handler => async input => {
       const handler = this.#handlers.get(`${part}.${method}`)
-      if (handler === undefined) throw new TRPCError({ code: 'NOT_IMPLEMENTED', message: `no plug-in handles ${part}.${method}` })
+      if (handler === undefined) throw new TRPCError({ code: 'NOT_IMPLEMENTED', message: `no plugin handles ${part}.${method}` })
       return handler(input)
     }
     return Object.fromEntries(methodsOf[part].map(method => [method, call(method)])) as unknown as RouterControlHandlers[Name]
--- a/packages/router/src/node/listening.ts
+++ b/packages/router/src/node/listening.ts
@@ -1,17 +1,7 @@
 /** Opening and closing of HTTP listeners. */
-import { readFile } from 'node:fs/promises'
-import { createServer as createHttpServer, type RequestListener, type Server, type ServerOptions } from 'node:http'
-import { createServer as createHttpsServer } from 'node:https'
-import type { TlsFiles } from '@buckthorndrift/admin'
+import type { Server } from 'node:http'
 import type { TimerService } from '@buckthorndrift/kernel'
 
-/** Creates a server with TLS when files are given. Rejects when one cannot be read. */
-export async function createListener (options: ServerOptions, tls: TlsFiles | undefined, handler: RequestListener): Promise<Server> {
-  if (tls === undefined) return createHttpServer(options, handler)
-  const [cert, key] = await Promise.all([readFile(tls.certificatePath), readFile(tls.keyPath)])
-  return createHttpsServer({ ...options, cert, key }, handler)
-}
-
 /** Resolves when the server accepts connections; rejects when the address is taken. */
 export function listen (server: Server, port: number, host: string): Promise<void> {
   return new Promise((resolve, reject) => {
--- a/packages/router/src/node/records/recordsPlugin.ts
+++ b/packages/router/src/node/records/recordsPlugin.ts
@@ -24,7 +24,7 @@
 const drainFlushAttempts = 3
 
 /** Provides `RecordService` and the `records` control handlers. */
-export function recordsPlugin (options: RecordsPluginOptions): Plugin {
+export function createRecordsPlugin (options: RecordsPluginOptions): Plugin {
   return definePlugin({ name: 'records', setup: context => setup(context, options) })
 }
 
--- a/packages/router/src/node/routerProcess.ts
+++ b/packages/router/src/node/routerProcess.ts
@@ -10,10 +10,10 @@
 import { tlsFilesOf, type ListenerName, type ResolvedRouterSettings, type RouterSettings } from '../shared/routerSettings.ts'
 import { controlRegistryKey } from '../shared/services.ts'
 import { createBudgetPlugin } from './budget/index.ts'
-import { callerPlugin } from './callers/callerPlugin.ts'
+import { createCallerPlugin } from './callers/callerPlugin.ts'
 import { createConfigPlugin } from './config/configPlugin.ts'
-import { controlPlugin } from './control/controlPlugin.ts'
-import { recordsPlugin } from './records/recordsPlugin.ts'
+import { createControlPlugin } from './control/controlPlugin.ts'
+import { createRecordsPlugin } from './records/recordsPlugin.ts'
 import { createRolloutsPlugin } from './rollouts/rolloutsPlugin.ts'
 
 export interface RouterOptions {
@@ -108,7 +108,7 @@
   const { fleetSecret, controlTimeoutMs } = settings
   return [
     createConfigPlugin(),
-    recordsPlugin({
+    createRecordsPlugin({
       fleetSecret,
       controlTimeoutMs,
       replicateTimeoutMs,
@@ -123,7 +123,7 @@
       fleet: { fleetSecret, controlTimeoutMs }
     }),
     createRolloutsPlugin({ fleetSecret, controlTimeoutMs, outcomeIntervalMs, random: Math.random }),
-    callerPlugin({
+    createCallerPlugin({
       host: settings.callerHost,
       port: settings.callerPort,
       fleetSecret,
@@ -157,7 +157,7 @@
       log: options.log,
       metrics: options.metrics,
       plugins: [
-        controlPlugin({ fleetSecret: settings.fleetSecret, listener: { kind: 'open', serve: control.serve, close: () => control.listener.close() } }),
+        createControlPlugin({ fleetSecret: settings.fleetSecret, listener: { kind: 'open', serve: control.serve, close: () => control.listener.close() } }),
         ...platformPlugins(settings, self),
         ...requestPlugins(options),
         ...operatorPlugins(options),
--- a/packages/router/src/shared/services.ts
+++ b/packages/router/src/shared/services.ts
@@ -1,4 +1,4 @@
-/** Services that the plug-ins of a router offer to each other. */
+/** Services that the plugins of a router offer to each other. */
 import type { Result } from 'ts-results-es'
 import { serviceKey } from '@buckthorndrift/kernel'
 import type { DirectoryKey, Failure, FailureReason, FleetConfig, VerdictKind } from '@buckthorndrift/policy'
@@ -54,9 +54,9 @@
 }
 export const versionServiceKey = serviceKey<VersionService>('versions')
 
-/** Handlers of the control listener; each plug-in sets its own in `setup`. */
+/** Handlers of the control listener; each plugin sets its own in `setup`. */
 export interface ControlRegistry {
-  /** Two plug-ins may share a part; throws when a handler is registered already. */
+  /** Two plugins may share a part; throws when a handler is registered already. */
   register<Part extends keyof RouterControlHandlers> (part: Part, handlers: Partial<RouterControlHandlers[Part]>): void
 }
 export const controlRegistryKey = serviceKey<ControlRegistry>('control')
