Pass the priority of a request on to the engine

Cause: X-Priority ordered the queue of the endpoint process but not that of the engine, and a caller could set the engine's own field. The router now sets it; the content hash leaves it out, so that crash evidence and repeated keys do not depend on it.

--- a/packages/router/src/node/callers/__tests__/callerPath.test.ts
+++ b/packages/router/src/node/callers/__tests__/callerPath.test.ts
@@ -77,6 +77,17 @@
       expect(rig.settled).toEqual([{ seq: 1, tokens: 9 }])
     })
 
+    it('tells the engine the priority that the header asks for, which leaves the content the same', async () => {
+      const endpoint = new FakeEndpoint('e1', { service: 'bot' })
+      await start([endpoint])
+      const body = { model: 'bot', priority: -9, messages: [{ role: 'user', content: 'hello' }] }
+      await (await post('/v1/chat/completions', body)).text()
+      await (await post('/v1/chat/completions', body, { 'x-priority': 'batch' })).text()
+      const { received } = endpoint
+      expect(received.map(one => (JSON.parse(one.body) as { priority: number }).priority)).toEqual([0, 1])
+      expect(new Set(received.map(one => one.call.contentHash)).size).toBe(1)
+    })
+
     it('refuses content whose tokens cannot be bounded, which could exceed the budget', async () => {
       await start([new FakeEndpoint('e1', { service: 'bot' })])
       const image = { type: 'image_url', image_url: { url: 'http://x' } }
--- a/packages/router/src/node/callers/modelBody.ts
+++ b/packages/router/src/node/callers/modelBody.ts
@@ -40,9 +40,16 @@
   return fail(notRun, 'badRequest', `the request body is invalid at "${issue?.path.join('.') ?? ''}": ${issue?.message ?? ''}`)
 }
 
+type Priority = 'interactive' | 'batch'
+
+/** Engines run requests with a lower number first. */
+const enginePriorities: Readonly<Record<Priority, number>> = { interactive: 0, batch: 1 }
+
 export interface BoundedChat {
-  /** The body with the output limit as `max_tokens`. */
+  /** The body with the output limit as `max_tokens`, and the priority for the engine's queue. */
   readonly body: Buffer
+  /** The body without the priority, which is not part of what the request asks for. */
+  readonly content: Buffer
   readonly maxTokens: number
   readonly prefix: string
 }
@@ -52,12 +59,14 @@
  * is at least one byte, so the bytes of the body, which include the field names
  * around each message, are an upper bound of the prompt with its template.
  */
-export function boundChat (chat: ChatRequest, maxOutputTokens: number): BoundedChat {
-  const { max_completion_tokens: completionLimit, ...rest } = chat
+export function boundChat (chat: ChatRequest, maxOutputTokens: number, priority: Priority): BoundedChat {
+  const { max_completion_tokens: completionLimit, priority: _callerPriority, ...rest } = chat
   const outputTokens = Math.min(maxOutputTokens, chat.max_tokens ?? completionLimit ?? maxOutputTokens)
-  const body = Buffer.from(JSON.stringify({ ...rest, max_tokens: outputTokens }))
+  const bounded = { ...rest, max_tokens: outputTokens }
+  const body = Buffer.from(JSON.stringify({ ...bounded, priority: enginePriorities[priority] }))
   return {
     body,
+    content: Buffer.from(JSON.stringify(bounded)),
     maxTokens: body.length + outputTokens * (chat.n ?? 1),
     prefix: JSON.stringify(chat.messages).slice(0, prefixBytes)
   }
--- a/packages/router/src/node/callers/planCall.ts
+++ b/packages/router/src/node/callers/planCall.ts
@@ -62,7 +62,7 @@
   const service = serviceNamed(input.fleet, chat.value.model)
   if (service?.kind !== 'model') return fail(notRun, 'unknownService', `there is no model service "${chat.value.model}"`)
   input.onService(service.name)
-  const bounded = boundChat(chat.value, service.maxOutputTokens)
+  const bounded = boundChat(chat.value, service.maxOutputTokens, options.value.priority)
   return Ok({
     ...input.owner,
     ...options.value,
@@ -75,7 +75,7 @@
     idempotent: true,
     maxTokens: bounded.maxTokens,
     priceTokens: undefined,
-    contentHash: hashOf(service.name, modelRoute, bounded.body),
+    contentHash: hashOf(service.name, modelRoute, bounded.content),
     prefix: hashOf(input.owner.organisation, bounded.prefix)
   })
 }
