--- /dev/null
+++ b/scripts/countReporter.mjs
@@ -0,0 +1,12 @@
+/** Prints the counts of a test run as one plain line, for tools that read the end of the output. */
+export default class CountReporter {
+  onTestRunEnd (testModules) {
+    const counts = { passed: 0, failed: 0, skipped: 0 }
+    for (const testModule of testModules) {
+      const isBroken = testModule.state() === 'failed' && testModule.children.size === 0
+      if (isBroken) counts.failed++
+      for (const test of testModule.children.allTests()) counts[test.result().state] = (counts[test.result().state] ?? 0) + 1
+    }
+    process.stdout.write(`\n${counts.passed} passed, ${counts.failed} failed, ${counts.skipped} skipped\n`)
+  }
+}
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -8,6 +8,7 @@
   test: {
     include: ['packages/*/src/**/__tests__/**/*.test.ts', 'playground/src/**/__tests__/**/*.test.ts'],
     pool: 'forks',
+    reporters: ['default', './scripts/countReporter.mjs'],
     setupFiles: ['./vitest.setup.ts'],
     testTimeout: 60_000,
     hookTimeout: 60_000
