Lose the router that holds the slices in the tests on real processes

Cause: a trial with the reclaim switched off showed that the loss test passed all the same, because the killed router held no slice: the collector of its budget was the other one. The tests now look up the holder in the platform and kill or pause that one.

--- a/playground/src/__tests__/routerLoss.test.ts
+++ b/playground/src/__tests__/routerLoss.test.ts
@@ -1,8 +1,8 @@
 import { request } from 'undici'
 import { describe, expect, it } from 'vitest'
 import { chat, send, streamedText } from '../callers.ts'
-import type { Fleet } from '../fleet.ts'
-import { requestsHeld, runsOf, setFaults } from '../standIns.ts'
+import type { Fleet, RouterPlan, RunningRouter } from '../fleet.ts'
+import { requestsHeld, runsOf, setFaults, sliceHolders } from '../standIns.ts'
 import { expectOk, examplePlan, startExampleFleet, until, untilServing } from '../setUp.ts'
 
 const settings = { endpoints: { recordHandoverMs: 1000 } }
@@ -10,6 +10,19 @@
 const settleLimitMs = 40_000
 const hourMs = 3_600_000
 
+/** The router that holds the slices, whose loss is the harder one, and another one. */
+async function holderAndOther (fleet: Fleet): Promise<readonly [RunningRouter, RunningRouter]> {
+  const holders = await sliceHolders(fleet.platformUrl, fleet.routers.map(router => router.id))
+  const holder = fleet.routers.find(router => holders.includes(router.id))
+  const other = fleet.routers.find(router => router !== holder)
+  if (holder === undefined || other === undefined) throw new Error('no router holds a slice')
+  return [holder, other]
+}
+
+function planOf (router: RunningRouter): RouterPlan {
+  return examplePlan.routers.find(plan => plan.id === router.id)!
+}
+
 /** Reads the start of an answer, then leaves it open. */
 async function openStream (url: string, key: string, idempotencyKey: string, prompt: string, maxTokens: number): Promise<void> {
   const { body } = await request(`${url}/v1/chat/completions`, {
@@ -33,7 +46,7 @@
   it('gives a caller that comes back with its key the first answer, whole, and reclaims the slices of the lost router', async () => {
     const { fleet, key } = await startExampleFleet(grantedTokens, settings)
     try {
-      const [first, second] = fleet.routers as [typeof fleet.routers[0], typeof fleet.routers[0]]
+      const [first, second] = await holderAndOther(fleet)
       const prompt = 'a long hibernation summary'
       await openStream(first.callerUrl, key, 'summary-1', prompt, 200)
       const booking = { id: 'check-in-1' }
@@ -57,7 +70,7 @@
       expect(await totalRuns(fleet, 'plain', id => id === booking.id)).toBe(1)
 
       // A new life of the same router takes the place of the lost one in the registry, so its slices can be reclaimed.
-      const replacement = await fleet.startRouter(examplePlan.routers[0]!)
+      const replacement = await fleet.startRouter(planOf(first))
       await untilServing(replacement.callerUrl, key)
       const range = { fromMs: Date.now() - hourMs, toMs: Date.now() + hourMs, organisation: 'tortoise-house', limit: 1000 }
       await until('spent tokens are those of the billing records', settleLimitMs, async () => {
@@ -75,11 +88,11 @@
   it('refuses what a router sends after a long pause under slices that were reclaimed, so that nothing is spent twice', async () => {
     const { fleet, key } = await startExampleFleet(3000, settings)
     try {
-      const [paused, other] = fleet.routers as [typeof fleet.routers[0], typeof fleet.routers[0]]
+      const [paused, other] = await holderAndOther(fleet)
       const spend = (url: string) => chat(url, { key, model: 'carebot', prompt: 'x', maxTokens: 40 }).catch(() => undefined)
       await Promise.all(Array.from({ length: 10 }, () => spend(paused.callerUrl)))
       paused.child.process.kill('SIGSTOP')
-      const replacement = await fleet.startRouter(examplePlan.routers[0]!)
+      const replacement = await fleet.startRouter(planOf(paused))
       await untilServing(replacement.callerUrl, key)
       const urls = [replacement.callerUrl, other.callerUrl]
       await Promise.all(Array.from({ length: 80 }, (_, number) => spend(urls[number % urls.length]!)))
--- a/playground/src/standIns.ts
+++ b/playground/src/standIns.ts
@@ -23,3 +23,14 @@
   const answer = await request(`${url}/load`)
   return (await answer.body.json() as { inFlight: number }).inFlight
 }
+
+/** Ids of the given routers that hold slices of budgets, as the platform has them. */
+export async function sliceHolders (platformUrl: string, routerIds: readonly string[]): Promise<readonly string[]> {
+  const listed = await request(`${platformUrl}/objects?prefix=${encodeURIComponent('budgets/')}`)
+  const { objects } = await listed.body.json() as { readonly objects: ReadonlyArray<{ readonly name: string }> }
+  const texts = await Promise.all(objects.map(async ({ name }) => {
+    const answer = await request(`${platformUrl}/objects/${encodeURIComponent(name)}`)
+    return await answer.body.text()
+  }))
+  return routerIds.filter(id => texts.some(text => text.includes(`"${id}.`)))
+}
