Size budget slices by what is left of the budget; drop partial events on resume

Ruled out: a shorter wait for the ledger; other routers had no free tokens. Change: the horizon of a slice falls from 10 s to 0.4 s with the unassigned share; lost slices of ended routers are told apart, and their refusals say so by a later time to come back; the boundary drops a torn event before a resume; output is counted by the engine's tokens per event.

--- a/packages/gateway/src/node/budgetLedger.ts
+++ b/packages/gateway/src/node/budgetLedger.ts
@@ -41,6 +41,8 @@
 const noGrants: ReadonlyMap<string, Grant> = new Map()
 /** Pause before a request is worth repeating when the rest of a budget is held elsewhere. */
 const heldElsewhereMs = 600
+/** Pause before a request is worth repeating when only a larger budget helps. */
+const topUpMs = 10_000
 
 interface Waiter {
   readonly organisation: string
@@ -254,8 +256,16 @@
       const prepaidTokens = this.#prepaid(waiter.organisation) ?? 0
       const others = othersTotal(this.#ledger, waiter.organisation, this.#options.holder)
       const leftTokens = prepaidTokens - others.committedTokens - this.slice(waiter.organisation).committedTokens
-      if (this.#revision !== undefined && waiter.tokens > leftTokens) waiter.resolve({ kind: 'exhausted' })
-      else waiter.resolve({ kind: 'unavailable', retryAfterMs: heldElsewhereMs })
+      const isExhausted = this.#revision !== undefined && waiter.tokens > leftTokens
+      this.#options.log.event('budgetRefused', {
+        organisation: waiter.organisation, tokens: waiter.tokens, prepaidTokens, leftTokens, isExhausted,
+        othersGrantedTokens: others.grantedTokens, othersCommittedTokens: others.committedTokens,
+        committedTokens: this.slice(waiter.organisation).committedTokens, grantedTokens: this.slice(waiter.organisation).grantedTokens,
+        ledgerRevision: this.#revision ?? null
+      })
+      // What ended routers held does not come back; only a larger budget helps.
+      const isLost = this.#revision !== undefined && waiter.tokens > leftTokens - others.lostTokens
+      waiter.resolve(isExhausted ? { kind: 'exhausted' } : { kind: 'unavailable', retryAfterMs: isLost ? topUpMs : heldElsewhereMs })
     }
   }
 
--- a/packages/gateway/src/node/callRun.ts
+++ b/packages/gateway/src/node/callRun.ts
@@ -124,6 +124,8 @@
   #send (peer: EndpointPeer, estimateMs: number, uncachedTokens: number): void {
     const { request, attributes, body, organisation, service, route } = this.#input
     this.#peer = peer
+    this.#head = undefined
+    this.#boundary.discardPartial()
     this.#tried.add(peer.entry.id)
     this.#sentMs = this.#state.clock.nowMs()
     this.#estimateMs = estimateMs
@@ -399,7 +401,7 @@
   #settleBudget (): void {
     const { attributes, service } = this.#input
     if (this.#reservation === undefined || attributes.generation === undefined) return
-    const deliveredTokens = Math.min(attributes.generation.maxOutputTokens, this.#boundary.count * (service.engine?.maxTokensPerEvent ?? 1))
+    const deliveredTokens = Math.min(attributes.generation.maxOutputTokens, this.#boundary.count * (service.engine?.tokensPerEvent ?? 1))
     this.#reservation.settle(this.#wasSent ? attributes.generation.promptTokens + deliveredTokens : 0)
   }
 }
--- a/packages/gateway/src/shared/eventBoundary.ts
+++ b/packages/gateway/src/shared/eventBoundary.ts
@@ -30,6 +30,11 @@
     return this.#pending.length
   }
 
+  /** Drops the beginning of an event whose rest will not come, before the stream goes on elsewhere. */
+  discardPartial (): void {
+    this.#pending = Buffer.alloc(0)
+  }
+
   push (chunk: Buffer): WholeEvents {
     const bytes = this.#pending.length === 0 ? chunk : Buffer.concat([this.#pending, chunk])
     let end = 0
--- a/packages/gateway/src/shared/fleet.ts
+++ b/packages/gateway/src/shared/fleet.ts
@@ -35,10 +35,8 @@
   readonly slots: number
   /** Memory for prompts and outputs, in tokens. */
   readonly kvTokens: number
-  /** Usual number of tokens in one event of a stream. */
+  /** Tokens in one event of a stream. */
   readonly tokensPerEvent: number
-  /** Largest number of tokens in one event of a stream. */
-  readonly maxTokensPerEvent: number
 }
 
 export interface Service {
--- a/packages/kernel/src/shared/events/gatewayEvents.ts
+++ b/packages/kernel/src/shared/events/gatewayEvents.ts
@@ -17,6 +17,7 @@
   storeContactRegained: { number: 1816, level: 'info', message: 'the store answers again', action: 'none' },
   ledgerUnreadable: { number: 1820, level: 'error', message: 'a budget ledger object cannot be read', action: 'Restore the object; requests of its organisations are refused meanwhile.' },
   ledgerUnavailable: { number: 1821, level: 'warn', message: 'requests were refused because the budget ledger did not answer', action: 'Look at the store.' },
+  budgetRefused: { number: 1822, level: 'info', message: 'tokens of a request were not reserved', action: 'When leftTokens is below tokens the budget is used up; otherwise other routers hold the rest, or the store did not answer.' },
   rolloutChanged: { number: 1825, level: 'info', message: 'state of a rollout changed', action: 'When it was rolled back, look at the version.' },
   requestPlaced: { number: 1830, level: 'info', message: 'request was sent to an endpoint', action: 'none' },
   requestRetried: { number: 1831, level: 'info', message: 'attempt failed; the request goes to another endpoint', action: 'none' },
--- a/packages/policy/src/shared/ledger/ledgerValue.ts
+++ b/packages/policy/src/shared/ledger/ledgerValue.ts
@@ -25,16 +25,26 @@
 /** Holder under which the grants of ended processes are summed up; they count as spent. */
 export const closedHolder = 'closed'
 
-/** Granted and committed tokens of all holders but one. */
-export function othersTotal (ledger: Ledger, organisation: string, holder: string): Grant {
+export interface OtherHolders {
+  readonly grantedTokens: number
+  /** Tokens that are certainly spent or reserved, by what the running holders last wrote. */
+  readonly committedTokens: number
+  /** Tokens of ended holders that were neither known to be spent nor can be spent any more. */
+  readonly lostTokens: number
+}
+
+/** Totals of all holders but one. */
+export function othersTotal (ledger: Ledger, organisation: string, holder: string): OtherHolders {
   let grantedTokens = 0
   let committedTokens = 0
+  let lostTokens = 0
   for (const [id, grant] of Object.entries(ledger.organisations[organisation] ?? {})) {
     if (id === holder) continue
     grantedTokens += grant.grantedTokens
     committedTokens += grant.committedTokens
+    if (id === closedHolder) lostTokens += grant.grantedTokens - grant.committedTokens
   }
-  return { grantedTokens, committedTokens }
+  return { grantedTokens, committedTokens, lostTokens }
 }
 
 /** Number of routers that hold a grant, without those that ended. */
--- a/packages/policy/src/shared/ledger/planGrant.ts
+++ b/packages/policy/src/shared/ledger/planGrant.ts
@@ -13,12 +13,24 @@
   readonly waitingTokens: number
 }
 
-/** Spending that a slice covers without the store. */
-const horizonMs = 8000
-/** Share of the budget below which nothing is held in advance, because what is held here is missing elsewhere. */
-const tightShare = 0.08
-/** Least slice of a budget with enough left, as a share of it; covers the first requests. */
-const firstShare = 0.01
+/**
+ * A slice is lost when its router is killed, and the others cannot spend it
+ * meanwhile. With much of the budget left that matters little, and a large slice
+ * carries the router through an outage of the store; towards the end of the
+ * budget slices shrink.
+ */
+const longestHorizonMs = 10_000
+const shortestHorizonMs = 400
+/** Unassigned share of the budget below which nothing is held in advance. */
+const tightShare = 0.06
+/** Unassigned share from which the longest horizon is used. */
+const ampleShare = 0.5
+/** Slice of an untouched budget, as a share of it, before the spending rate is known. */
+const firstShare = 0.05
+
+/** A slice is refilled below this share of the planned one, and partly returned above this multiple of it. */
+const refillShare = 0.5
+const returnFactor = 3
 
 /** Tokens that nobody was granted, if this router gave back all that it has not committed. */
 export function unassignedTokens (input: GrantInput): number {
@@ -29,14 +41,21 @@
   return unassignedTokens(input) < input.prepaidTokens * tightShare
 }
 
+function horizonMs (unassignedShare: number): number {
+  const position = Math.min(1, Math.max(0, (unassignedShare - tightShare) / (ampleShare - tightShare)))
+  return shortestHorizonMs + position * (longestHorizonMs - shortestHorizonMs)
+}
+
 /** Grant in tokens that the router asks for. */
 export function planGrant (input: GrantInput): number {
   const free = unassignedTokens(input)
   const waiting = input.waitingTokens <= free ? input.waitingTokens : 0
   if (isTight(input)) return input.committedTokens + waiting
-  const wanted = Math.max(input.ratePerMs * horizonMs, input.prepaidTokens * firstShare, waiting)
+  const unassignedShare = free / input.prepaidTokens
+  const firstTokens = input.prepaidTokens * firstShare * Math.max(0, unassignedShare * 2 - 1)
+  const wanted = Math.max(input.ratePerMs * horizonMs(unassignedShare), firstTokens, waiting)
   const fairShare = Math.max(waiting, free / (input.holders + 1))
-  return input.committedTokens + Math.min(wanted, fairShare)
+  return Math.floor(input.committedTokens + Math.min(wanted, fairShare))
 }
 
 /** Whether the slice is low enough, or idle enough, for a write to the store. */
@@ -45,5 +64,5 @@
   if (input.waitingTokens > available) return true
   const planned = planGrant(input) - input.committedTokens
   if (isTight(input)) return available > 0
-  return available < planned * 0.4 || available > planned * 4
+  return available < planned * refillShare || available > planned * returnFactor
 }
