Return slices on shutdown; pass answers without a length on without one

Ruled out: telling a crash from the end of such an answer; both end the connection without an error. Change: the ledger is closed before the process ends; unframed answers end with the caller's connection.

--- a/packages/gateway/src/node/budgetLedger.ts
+++ b/packages/gateway/src/node/budgetLedger.ts
@@ -36,6 +36,7 @@
 const updateIntervalMs = 250
 const retryMs = 60
 const maxRounds = 12
+const maxCloseRounds = 4
 /** Pause after a failed call while no request waits. */
 const outagePauseMs = 500
 const noGrants: ReadonlyMap<string, Grant> = new Map()
@@ -63,6 +64,7 @@
   #uncertainRevision: number | undefined
   #waiters: Waiter[] = []
   #isUpdating = false
+  #isClosing = false
   #nextUpdateMs = 0
   #hasClosedFormer = false
 
@@ -92,11 +94,25 @@
 
   /** Writes the ledger if a slice needs it; one write at a time. */
   update (): void {
-    if (this.#isUpdating || (this.#waiters.length === 0 && this.#nowMs() < this.#nextUpdateMs)) return
+    if (this.#isClosing || this.#isUpdating || (this.#waiters.length === 0 && this.#nowMs() < this.#nextUpdateMs)) return
     this.#isUpdating = true
     void this.#settle().finally(() => { this.#isUpdating = false })
   }
 
+  /** Gives back what was not committed, so that other routers can spend it. */
+  async close (): Promise<void> {
+    this.#isClosing = true
+    for (let round = 0; round < maxCloseRounds; round++) {
+      if (this.#revision === undefined && await this.#read() !== undefined) return
+      const grants = new Map<string, Grant>()
+      for (const [organisation, slice] of this.slices) {
+        const committed = Math.ceil(slice.committedTokens)
+        if (slice.grantedTokens > committed) grants.set(organisation, { grantedTokens: committed, committedTokens: committed })
+      }
+      if (grants.size === 0 || await this.#write(grants) === undefined) return
+    }
+  }
+
   #nowMs (): number {
     return this.#options.timers.monotonicMs()
   }
@@ -310,6 +326,11 @@
     return this.#shardOf(organisation, this.#shardCount).reserve(organisation, tokens, maxWaitMs)
   }
 
+  /** Gives all unspent tokens back before the process ends. */
+  async close (): Promise<void> {
+    await Promise.all([...this.#shards.values()].map(shard => shard.close()))
+  }
+
   #shardOf (organisation: string, count: number): LedgerShard {
     const index = hashOf(organisation) % count
     let shard = this.#shards.get(index)
--- a/packages/gateway/src/node/callRun.ts
+++ b/packages/gateway/src/node/callRun.ts
@@ -238,7 +238,10 @@
     const head = this.#head
     if (response.headersSent || head === undefined) return
     const headers = this.#state.dialect.answerHeaders(head.rawHeaders)
-    if (this.#state.isStopping) headers.push('Connection', 'close')
+    const isFramed = head.attributes.isChunked || head.attributes.contentLengthBytes !== undefined
+    // An answer without a length ends with its connection here as well: whether it is complete is not known.
+    if (!isFramed) response.removeHeader('Transfer-Encoding')
+    if (this.#state.isStopping || !isFramed) headers.push('Connection', 'close')
     response.writeHead(head.status, headers)
   }
 
--- a/packages/gateway/src/node/runGateway.ts
+++ b/packages/gateway/src/node/runGateway.ts
@@ -27,7 +27,9 @@
 /** The balancer takes a router out after two failed checks, one a second. */
 const balancerNoticeMs = 3000
 /** Part of the grace period kept for ending the process. */
-const exitMarginMs = 400
+const exitMarginMs = 700
+/** Longest wait for the store while unspent budgets are given back. */
+const returnLimitMs = 400
 const stopCheckMs = 50
 
 function listen (server: Server, address: Address): void {
@@ -82,9 +84,15 @@
       if (state.openRequests > 0 && elapsedMs < limitMs) return
       clearInterval(check)
       stopFollowing()
-      log.event('gatewayStopped', { openRequests: state.openRequests })
-      lines.flush()
-      setTimeout(() => { process.exit(0) }, stopCheckMs)
+      void finish(state)
     }, stopCheckMs)
   }
+
+  async function finish (state: GatewayState): Promise<void> {
+    const timedOut = new Promise<void>(resolve => { setTimeout(resolve, returnLimitMs) })
+    await Promise.race([ledger.close(), timedOut])
+    log.event('gatewayStopped', { openRequests: state.openRequests })
+    lines.flush()
+    setTimeout(() => { process.exit(0) }, stopCheckMs)
+  }
 }
