Hold the lapse window to the store's return; keep a rest of slices in outages only

Ruled out: a late watch; the configuration follower was in contact 3 s before. Tests on the platform's protocol with a stand-in store and stand-in endpoints.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -38,7 +38,7 @@
 }
 
 export default [
-  ...neostandard({ ts: true, ignores: ['**/dist/**', '**/node_modules/**'] }),
+  ...neostandard({ ts: true, ignores: ['**/dist/**', '**/node_modules/**', 'target/**', 'journal/**'] }),
   {
     rules: {
       'max-lines': ['error', { max: 350 }],
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -7,3 +7,4 @@
 } from './shared/fleet.ts'
 export type { FleetStore, ObjectEvent, ObjectKind, ObjectPage, StoredObject, StoreFailure, StoreResult, WatchPage } from './shared/store.ts'
 export { runGateway, type GatewayOptions } from './node/runGateway.ts'
+export { startGateway, type Gateway, type StartGatewayOptions } from './node/startGateway.ts'
--- /dev/null
+++ b/packages/gateway/src/node/callBudget.ts
@@ -0,0 +1,37 @@
+/** The part of an organisation's budget that one call has reserved. */
+import type { Generation } from '../shared/call.ts'
+import type { Organisation, Route } from '../shared/fleet.ts'
+import type { BudgetLedger } from './budgetLedger.ts'
+import type { Reservation } from './ledgerShard.ts'
+
+export class CallBudget {
+  #reservation: Extract<Reservation, { kind: 'reserved' }> | undefined
+  #isSettled = false
+  readonly #generation: Generation | undefined
+
+  constructor (generation: Generation | undefined) {
+    this.#generation = generation
+  }
+
+  /** Reserves the call at its largest size; `undefined` when it needs no budget. */
+  async reserve (ledger: BudgetLedger, organisation: Organisation | undefined, route: Route, maxWaitMs: number): Promise<Reservation | undefined> {
+    const generation = this.#generation
+    if (organisation === undefined || generation === undefined || !ledger.hasBudget(organisation.name)) return undefined
+    const tokens = generation.promptTokens + generation.maxOutputTokens
+    const reservation = await ledger.reserve(organisation.name, tokens, route.priority, maxWaitMs)
+    if (reservation.kind === 'reserved') {
+      this.#reservation = reservation
+      // The call may have ended while it waited for the store.
+      if (this.#isSettled) reservation.settle(0)
+    }
+    return reservation
+  }
+
+  /** Ends the reservation; a call that was not run consumes nothing, any other its prompt and what was delivered. */
+  settle (mayHaveRun: boolean, deliveredTokens: number): void {
+    this.#isSettled = true
+    if (this.#reservation === undefined || this.#generation === undefined) return
+    const { promptTokens, maxOutputTokens } = this.#generation
+    this.#reservation.settle(mayHaveRun ? promptTokens + Math.min(maxOutputTokens, deliveredTokens) : 0)
+  }
+}
--- a/packages/gateway/src/node/callRun.ts
+++ b/packages/gateway/src/node/callRun.ts
@@ -1,31 +1,17 @@
 /** Runs one call of a caller: places it, sends it, repeats it where that is safe, and passes the answer on. */
-import type { IncomingMessage, ServerResponse } from 'node:http'
 import { mayHaveRun, notRun, type Failure, type FailureReason, type Verdict } from '@buckthorndrift/policy'
-import type { CallAttributes } from '../shared/call.ts'
+import { attemptPatienceMs, isRepeatable, meaningOf } from '../shared/attemptRules.ts'
 import { EventBoundary } from '../shared/eventBoundary.ts'
-import type { Organisation, Route, Service } from '../shared/fleet.ts'
-import type { Reservation } from './budgetLedger.ts'
+import type { Route } from '../shared/fleet.ts'
 import { sendFailure } from './callerAnswer.ts'
+import type { CallInput } from './callInput.ts'
+import { CallBudget } from './callBudget.ts'
+import { CallerStream } from './callerStream.ts'
 import type { EndpointPeer } from './endpointPeers.ts'
 import { Exchange, type AnswerHead, type ExchangeFailure } from './exchange.ts'
-import type { GatewayState } from './gatewayState.ts'
+import type { CallOutcome, GatewayState } from './gatewayState.ts'
+import { PeerUse } from './peerUse.ts'
 
-export interface CallInput {
-  readonly request: IncomingMessage
-  readonly response: ServerResponse
-  readonly attributes: CallAttributes
-  readonly body: Buffer | undefined
-  readonly route: Route
-  readonly service: Service
-  readonly organisation: Organisation | undefined
-  readonly configurationVersion: number
-  readonly arrivedMs: number
-  /** End of the caller's patience or of the route's timeout, whichever is first. */
-  readonly deadlineAtMs: number
-}
-
-/** Largest answer that is held back until it is complete, so that a broken one can be repeated. */
-const maxHeldBytes = 64 * 1024
 /** Time that a further attempt needs at least. */
 const minAttemptMs = 15
 /** Margin below the time that is left, for the way of the answer. */
@@ -33,35 +19,34 @@
 /** Attempts that end before anything is sent, or are rejected unread, are limited as well. */
 const maxUnsentAttempts = 3
 
-type Outcome = 'finished' | 'failed' | 'refused' | 'abandoned'
-
 export class CallRun {
   readonly #state: GatewayState
   readonly #input: CallInput
+  readonly #stream: CallerStream
+  readonly #budget: CallBudget
   readonly #tried = new Set<string>()
   readonly #boundary = new EventBoundary()
   #exchange: Exchange | undefined
-  #peer: EndpointPeer | undefined
-  #reservation: Extract<Reservation, { kind: 'reserved' }> | undefined
+  #head: AnswerHead | undefined
+  #use: PeerUse | undefined
   #deadlineTimer: NodeJS.Timeout | undefined
+  #patienceTimer: NodeJS.Timeout | undefined
   #verdict: Verdict = notRun
   /** Endpoints that may have begun to run the call. */
   #runs = 0
   #unsent = 0
   /** Whether an attempt was sent whose endpoint did not say that it was not run. */
   #wasSent = false
-  #sentMs = 0
   #estimateMs = 0
   #firstByteMs: number | undefined
-  #pendingTokens = 0
-  #held: Buffer[] = []
-  #heldBytes = 0
   #isDone = false
   #lastDetail = ''
 
   constructor (state: GatewayState, input: CallInput) {
     this.#state = state
     this.#input = input
+    this.#stream = new CallerStream(input.response, state.dialect)
+    this.#budget = new CallBudget(input.attributes.generation)
   }
 
   async start (): Promise<void> {
@@ -78,25 +63,16 @@
     return this.#input.route.kind === 'streaming'
   }
 
-  get #isRepeatable (): boolean {
-    const { route } = this.#input
-    return route.kind === 'safe' || (route.kind === 'streaming' && route.isResumable)
-  }
-
   get #remainingMs (): number {
     return this.#input.deadlineAtMs - this.#state.clock.nowMs()
   }
 
   async #reserveBudget (): Promise<boolean> {
-    const { organisation, attributes, route } = this.#input
-    const { generation } = attributes
-    if (organisation === undefined || generation === undefined || !this.#state.ledger.hasBudget(organisation.name)) return true
-    const tokens = generation.promptTokens + generation.maxOutputTokens
-    const reservation = await this.#state.ledger.reserve(organisation.name, tokens, Math.min(route.objectiveMs / 2, this.#remainingMs / 2))
-    switch (reservation.kind) {
+    const { organisation, route } = this.#input
+    const reservation = await this.#budget.reserve(this.#state.ledger, organisation, route, Math.min(route.objectiveMs, this.#remainingMs) / 2)
+    switch (reservation?.kind) {
+      case undefined:
       case 'reserved':
-        this.#reservation = reservation
-        if (this.#isDone) reservation.settle(0)
         return true
       case 'exhausted':
         this.#refuse('budgetExhausted', 'the rest of the budget does not cover the request at its largest size')
@@ -123,17 +99,11 @@
 
   #send (peer: EndpointPeer, estimateMs: number, uncachedTokens: number): void {
     const { request, attributes, body, organisation, service, route } = this.#input
-    this.#peer = peer
     this.#head = undefined
     this.#boundary.discardPartial()
     this.#tried.add(peer.entry.id)
-    this.#sentMs = this.#state.clock.nowMs()
+    this.#use = new PeerUse(peer, { generation: attributes.generation, uncachedTokens, estimateMs, nowMs: this.#state.clock.nowMs() })
     this.#estimateMs = estimateMs
-    this.#pendingTokens = uncachedTokens
-    this.#firstByteMs = undefined
-    peer.running++
-    peer.pendingTokens += uncachedTokens
-    peer.heldTokens += this.#heldTokens
     const resumeAfter = this.#boundary.lastId ?? attributes.resumeAfter
     const headers = this.#state.dialect.forwardHeaders(request.rawHeaders, {
       remainingMs: Math.max(1, Math.floor(this.#remainingMs - answerMarginMs)),
@@ -143,6 +113,7 @@
       resumeAfter
     })
     this.#wasSent = true
+    this.#watchPatience(route, estimateMs)
     this.#state.metrics.attempts.inc({ service: service.name })
     this.#exchange = new Exchange(peer.connections, this.#state.dialect, {
       method: request.method ?? 'GET',
@@ -158,104 +129,66 @@
     })
   }
 
-  get #heldTokens (): number {
-    const { generation } = this.#input.attributes
-    return generation === undefined ? 0 : generation.promptTokens + generation.maxOutputTokens / 2
+  /** Tries a repeatable call elsewhere when its endpoint stays silent. */
+  #watchPatience (route: Route, estimateMs: number): void {
+    const patienceMs = attemptPatienceMs(route, estimateMs)
+    clearTimeout(this.#patienceTimer)
+    if (patienceMs === undefined || this.#runs + 1 >= route.maxAttempts) return
+    this.#patienceTimer = setTimeout(() => {
+      if (this.#exchange !== undefined && this.#head === undefined) this.#breakOff('the endpoint did not answer in time')
+    }, patienceMs)
   }
 
   /** Ends the accounting of the present attempt. */
   #leavePeer (): EndpointPeer | undefined {
-    const peer = this.#peer
-    if (peer === undefined) return undefined
-    peer.running--
-    peer.heldTokens -= this.#heldTokens
-    peer.pendingTokens -= this.#pendingTokens
-    this.#pendingTokens = 0
-    this.#peer = undefined
+    const use = this.#use
+    this.#use = undefined
     this.#exchange = undefined
-    return peer
+    use?.end()
+    return use?.peer
   }
 
-  #head: AnswerHead | undefined
-
   #onHead (head: AnswerHead): void {
     this.#head = head
-    const { status, attributes } = head
-    if (attributes.isNotExecuted || status === 421) {
+    clearTimeout(this.#patienceTimer)
+    const meaning = meaningOf(head.status, head.attributes)
+    if (meaning.kind === 'rejected') {
       this.#exchange?.abort()
-      this.#onRejected(status)
+      this.#onRejected(head.status)
       return
     }
     this.#runs++
     this.#verdict = mayHaveRun
-    const isSuccess = status >= 200 && status < 300
-    if (isSuccess && (!attributes.isSigned || attributes.isEncoded || attributes.attemptId === undefined)) {
-      this.#breakOff('the answer is not signed by the endpoint')
-      return
-    }
-    // A status that promises that nothing ran is not passed on for a call that did run.
-    if ([408, 421, 429, 503].includes(status)) this.#breakOff(`the endpoint answered ${status}`)
+    if (meaning.kind === 'unusable') this.#breakOff(meaning.detail)
   }
 
   #onData (chunk: Buffer): void {
     if (this.#isDone || this.#head === undefined) return
-    if (this.#firstByteMs === undefined) this.#onFirstByte()
+    const nowMs = this.#state.clock.nowMs()
+    this.#firstByteMs ??= nowMs
+    this.#use?.noteFirstByte(nowMs)
     if (this.#isStream && this.#head.status === 200) {
       this.#passEvents(chunk)
       return
     }
-    if (this.#input.response.headersSent) {
-      this.#write(chunk)
+    if (this.#stream.isStarted) {
+      this.#stream.write(chunk, this.#exchange)
       return
     }
-    this.#held.push(chunk)
-    this.#heldBytes += chunk.length
-    if (this.#heldBytes > maxHeldBytes) this.#releaseHeld()
-  }
-
-  #onFirstByte (): void {
-    const nowMs = this.#state.clock.nowMs()
-    this.#firstByteMs = nowMs
-    const peer = this.#peer
-    if (peer === undefined) return
-    peer.pendingTokens -= this.#pendingTokens
-    this.#pendingTokens = 0
-    if (!this.#isStream) return
-    peer.noteExcessMs(nowMs - this.#sentMs - this.#estimateMs, nowMs)
-    const { generation } = this.#input.attributes
-    if (generation !== undefined) peer.prefixes.note(generation.prompt, nowMs)
+    if (this.#stream.hold(chunk)) return
+    this.#writeHead()
+    this.#stream.releaseHeld(this.#exchange)
   }
 
   #passEvents (chunk: Buffer): void {
     const { bytes, count } = this.#boundary.push(chunk)
     if (count === 0) return
     this.#writeHead()
-    this.#write(bytes)
+    this.#stream.write(bytes, this.#exchange)
   }
 
   #writeHead (): void {
-    const { response } = this.#input
-    const head = this.#head
-    if (response.headersSent || head === undefined) return
-    const headers = this.#state.dialect.answerHeaders(head.rawHeaders)
-    const isFramed = head.attributes.isChunked || head.attributes.contentLengthBytes !== undefined
-    // An answer without a length ends with its connection here as well: whether it is complete is not known.
-    if (!isFramed) response.removeHeader('Transfer-Encoding')
-    if (this.#state.isStopping || !isFramed) headers.push('Connection', 'close')
-    response.writeHead(head.status, headers)
-  }
-
-  #write (bytes: Buffer): void {
-    const { response } = this.#input
-    if (response.write(bytes)) return
-    const exchange = this.#exchange
-    exchange?.pause()
-    response.once('drain', () => { exchange?.resume() })
-  }
-
-  #releaseHeld (): void {
-    this.#writeHead()
-    for (const chunk of this.#held.splice(0)) this.#write(chunk)
+    if (this.#head !== undefined) this.#stream.writeHead(this.#head, this.#state.isStopping)
   }
 
   #onEnd (): void {
@@ -266,20 +199,20 @@
       return
     }
     const isServerError = status >= 500
-    const peer = this.#leavePeer()
     const nowMs = this.#state.clock.nowMs()
+    const sentMs = this.#use?.sentMs ?? nowMs
+    const peer = this.#leavePeer()
     peer?.health.note(isServerError, nowMs)
-    if (!this.#isStream) peer?.noteAnswerMs(nowMs - this.#sentMs)
-    if (isServerError && this.#isRepeatable && !this.#input.response.headersSent && this.#mayRepeat()) {
-      this.#held = []
-      this.#heldBytes = 0
+    if (!this.#isStream) peer?.noteAnswerMs(nowMs - sentMs)
+    if (isServerError && isRepeatable(this.#input.route) && !this.#stream.isStarted && this.#mayRepeat()) {
+      this.#stream.discardHeld()
       this.#retry(`the endpoint answered ${status}`)
       return
     }
     this.#writeHead()
-    for (const chunk of this.#held.splice(0)) this.#input.response.write(chunk)
+    this.#stream.releaseHeld(undefined)
     this.#finish(status < 400 ? 'finished' : 'failed', status)
-    this.#input.response.end()
+    this.#stream.end()
   }
 
   #onRejected (status: number): void {
@@ -292,8 +225,7 @@
       this.#retry(this.#lastDetail)
       return
     }
-    if (this.#input.response.headersSent) this.#cut(this.#lastDetail)
-    else if (this.#verdict === notRun) this.#refuse('endpointFull', 'the endpoints have no place for the request', this.#state.retryAfterMs())
+    if (this.#verdict === notRun) this.#refuse('endpointFull', 'the endpoints have no place for the request', this.#state.retryAfterMs())
     else this.#fail('backEndFailed', this.#lastDetail)
   }
 
@@ -302,8 +234,7 @@
     const peer = this.#leavePeer()
     const nowMs = this.#state.clock.nowMs()
     this.#lastDetail = failure.detail
-    this.#held = []
-    this.#heldBytes = 0
+    this.#stream.discardHeld()
     if (failure.kind === 'notConnected') {
       peer?.health.noteDown(nowMs)
       this.#noteUnsent()
@@ -311,8 +242,7 @@
         this.#retry(failure.detail)
         return
       }
-      if (this.#input.response.headersSent) this.#cut(failure.detail)
-      else if (this.#verdict === notRun) this.#refuse('noEndpoint', 'no endpoint could be reached', this.#state.retryAfterMs())
+      if (this.#verdict === notRun) this.#refuse('noEndpoint', 'no endpoint could be reached', this.#state.retryAfterMs())
       else this.#fail('endpointLost', failure.detail)
       return
     }
@@ -320,12 +250,11 @@
     if (this.#head === undefined) this.#runs++
     this.#head = undefined
     this.#verdict = mayHaveRun
-    if (this.#isRepeatable && this.#mayRepeat()) {
+    if (isRepeatable(this.#input.route) && this.#mayRepeat()) {
       this.#retry(failure.detail)
       return
     }
-    if (this.#input.response.headersSent) this.#cut(failure.detail)
-    else this.#fail('endpointLost', failure.detail)
+    this.#fail('endpointLost', failure.detail)
   }
 
   #noteUnsent (): void {
@@ -353,11 +282,9 @@
   #onDeadline (): void {
     if (this.#isDone) return
     this.#exchange?.abort()
-    this.#peer?.health.note(true, this.#state.clock.nowMs())
-    this.#leavePeer()
+    this.#leavePeer()?.health.note(true, this.#state.clock.nowMs())
     if (this.#wasSent) this.#verdict = mayHaveRun
-    if (this.#input.response.headersSent) this.#cut('the deadline passed')
-    else this.#fail('deadlineExceeded', 'the deadline passed before the answer was complete')
+    this.#fail('deadlineExceeded', 'the deadline passed before the answer was complete')
   }
 
   #abandon (): void {
@@ -374,37 +301,39 @@
     this.#answerFailure('failed', { verdict: this.#verdict, reason, detail })
   }
 
-  #answerFailure (outcome: Outcome, failure: Failure): void {
-    this.#lastDetail = failure.detail
+  #answerFailure (outcome: CallOutcome['outcome'], failure: Failure): void {
     if (this.#isDone) return
-    const { response } = this.#input
-    const status = sendFailure(response, failure, this.#state.isStopping)
-    this.#finish(outcome, status, failure.reason)
+    this.#lastDetail = failure.detail
+    if (this.#stream.isStarted) {
+      this.#cut(failure.detail)
+      return
+    }
+    this.#finish(outcome, sendFailure(this.#input.response, failure, this.#state.isStopping), failure.reason)
   }
 
   /** Closes the connection, so that an answer that breaks off does not look complete. */
   #cut (detail: string): void {
     this.#lastDetail = detail
     this.#finish('failed', this.#head?.status ?? 0)
-    this.#input.response.destroy()
+    this.#stream.cut()
   }
 
-  #finish (outcome: Outcome, status: number, reason?: FailureReason): void {
+  #finish (outcome: CallOutcome['outcome'], status: number, reason?: FailureReason): void {
     if (this.#isDone) return
     this.#isDone = true
     clearTimeout(this.#deadlineTimer)
-    this.#settleBudget()
+    clearTimeout(this.#patienceTimer)
+    this.#budget.settle(this.#wasSent, this.#boundary.count * (this.#input.service.engine?.tokensPerEvent ?? 1))
     this.#state.noteOutcome(this.#input, {
-      outcome, status, reason, detail: this.#lastDetail, endpointIds: [...this.#tried], runs: this.#runs, events: this.#boundary.count,
+      outcome,
+      status,
+      reason,
+      detail: this.#lastDetail,
+      endpointIds: [...this.#tried],
+      runs: this.#runs,
+      events: this.#boundary.count,
       firstByteMs: this.#firstByteMs === undefined ? undefined : this.#firstByteMs - this.#input.arrivedMs,
       estimateMs: this.#estimateMs
     })
   }
-
-  #settleBudget (): void {
-    const { attributes, service } = this.#input
-    if (this.#reservation === undefined || attributes.generation === undefined) return
-    const deliveredTokens = Math.min(attributes.generation.maxOutputTokens, this.#boundary.count * (service.engine?.tokensPerEvent ?? 1))
-    this.#reservation.settle(this.#wasSent ? attributes.generation.promptTokens + deliveredTokens : 0)
-  }
 }
--- a/packages/gateway/src/node/callerServer.ts
+++ b/packages/gateway/src/node/callerServer.ts
@@ -97,8 +97,16 @@
     this.#state.quotaOf(service.name).noteRequest(arrivedMs)
     const patienceMs = Math.min(attributes.deadlineMs ?? route.timeoutMs, route.timeoutMs)
     const run = new CallRun(this.#state, {
-      request, response, attributes, body, route, service, organisation,
-      configurationVersion: table.version, arrivedMs, deadlineAtMs: arrivedMs + patienceMs
+      request,
+      response,
+      attributes,
+      body,
+      route,
+      service,
+      organisation,
+      configurationVersion: table.version,
+      arrivedMs,
+      deadlineAtMs: arrivedMs + patienceMs
     })
     await run.start()
   }
@@ -127,7 +135,10 @@
     const status = sendFailure(response, failure, this.#state.isStopping || isBodyUnread)
     this.#state.metrics.refusals.inc({ reason: failure.reason })
     this.#state.log.event('requestRefused', {
-      attemptId: this.#state.dialect.parseCall(request.headers).attemptId ?? '', status, reason: failure.reason, detail: failure.detail,
+      attemptId: this.#state.dialect.parseCall(request.headers).attemptId ?? '',
+      status,
+      reason: failure.reason,
+      detail: failure.detail,
       configurationVersion: this.#state.table?.version ?? 0
     })
   }
--- a/packages/gateway/src/node/followFleet.ts
+++ b/packages/gateway/src/node/followFleet.ts
@@ -1,6 +1,6 @@
 /** Keeps the gateway's view of configuration, endpoints and rollouts in step with the store. */
 import type { Log, TimerService } from '@buckthorndrift/kernel'
-import type { DirectoryChange } from '../shared/endpointDirectory.ts'
+import { reappearMs, type DirectoryChange } from '../shared/endpointDirectory.ts'
 import { RouteTable } from '../shared/routeTable.ts'
 import type { FleetStore, StoredObject } from '../shared/store.ts'
 import type { GatewayState } from './gatewayState.ts'
@@ -19,7 +19,7 @@
 const watchWaitMs = 2000
 /** Changes of endpoints are gathered for this long; well below the time that an endpoint serves after it began to drain. */
 const endpointPauseMs = 300
-const expireCheckMs = 500
+const expireCheckMs = 100
 
 export interface FleetFollowers {
   /** Whether configuration and endpoints were read at least once. */
@@ -30,9 +30,17 @@
 export function followFleet (options: FollowFleetOptions): FleetFollowers {
   const { state, store, timers, log, random } = options
   const loaded = { configuration: false, endpoints: false }
-  let outageEndedMs = -Infinity
+  /** When the store last answered again after an outage. */
+  let returnedMs = -Infinity
+
+  /** Whether the store just came back, so that entries may be missing only because it was away. */
+  function isAfterOutage (): boolean {
+    return timers.monotonicMs() - returnedMs < reappearMs
+  }
 
   function noteContact (kind: string, isInContact: boolean, detail: string): void {
+    // The first follower that gets an answer tells when the store came back; later ones are not a return.
+    if (isInContact && !isAfterOutage()) returnedMs = timers.monotonicMs()
     if (isInContact) log.event('storeContactRegained', { kind })
     else log.event('storeContactLost', { kind, detail })
   }
@@ -66,13 +74,8 @@
     onContact: (isInContact, detail) => { noteContact('configuration', isInContact, detail) }
   }
 
-  /** Whether the store just came back, so that entries may be missing only because it was away. */
-  function isAfterOutage (): boolean {
-    return timers.monotonicMs() - outageEndedMs < 2000
-  }
-
   function removeEndpoint (id: string): void {
-    if (isAfterOutage()) state.directory.lapse(id, timers.monotonicMs())
+    if (isAfterOutage()) state.directory.lapse(id, returnedMs + reappearMs)
     else noteChange(state.directory.remove(id))
   }
 
@@ -91,10 +94,7 @@
       for (const id of state.directory.missingFrom(names)) removeEndpoint(id)
       loaded.endpoints = true
     },
-    onContact: (isInContact, detail) => {
-      if (isInContact) outageEndedMs = timers.monotonicMs()
-      noteContact('endpoints', isInContact, detail)
-    }
+    onContact: (isInContact, detail) => { noteContact('endpoints', isInContact, detail) }
   }
 
   const followers = [
--- a/packages/gateway/src/node/gatewayState.ts
+++ b/packages/gateway/src/node/gatewayState.ts
@@ -9,7 +9,7 @@
 import { RetryQuota } from '../shared/retryQuota.ts'
 import type { RouteTable } from '../shared/routeTable.ts'
 import type { BudgetLedger } from './budgetLedger.ts'
-import type { CallInput } from './callRun.ts'
+import type { CallInput } from './callInput.ts'
 import { EndpointPeers, type EndpointPeer } from './endpointPeers.ts'
 import type { GatewayMetrics } from './gatewayMetrics.ts'
 
@@ -45,6 +45,8 @@
 
 /** Least urgent rank that an engine knows. */
 const maxUrgency = 9
+/** Ranks of an engine for each priority of an organisation. */
+const ranksPerPriority = 3
 const retryAfterMs = 400
 /** Largest number of routers among which the fixed part of the retry budget is divided. */
 const expectedRouters = 8
@@ -99,9 +101,10 @@
     return targets.at(-1)?.service
   }
 
-  /** Rank that engines are told; the organisation's goes before the route's. */
+  /** Rank that engines are told: the organisation's goes before the route's, which decides among equals. */
   urgencyOf (route: Route, organisation: Organisation | undefined): number {
-    return Math.min(maxUrgency, 2 + 2 * (organisation?.priority ?? route.priority))
+    const first = organisation?.priority ?? route.priority
+    return Math.min(maxUrgency, first * ranksPerPriority + Math.min(route.priority, ranksPerPriority - 1))
   }
 
   retryAfterMs (): number {
@@ -146,10 +149,22 @@
     if (result.reason !== undefined) this.metrics.refusals.inc({ reason: result.reason })
     const event = ({ finished: 'requestFinished', failed: 'requestFailed', refused: 'requestRefused', abandoned: 'requestAbandoned' } as const)[result.outcome]
     this.log.event(event, {
-      attemptId: attributes.attemptId ?? '', route: route.name, service: service.name, organisation: organisation?.name ?? '',
-      configurationVersion, status: result.status, reason: result.reason ?? '', detail: result.detail, endpoints: result.endpointIds.join(' '),
-      runs: result.runs, events: result.events, firstByteMs: Math.round(result.firstByteMs ?? -1), estimateMs: Math.round(result.estimateMs), durationMs,
-      leftMs: Math.round(input.deadlineAtMs - this.clock.nowMs()), promptTokens: attributes.generation?.promptTokens ?? 0
+      attemptId: attributes.attemptId ?? '',
+      route: route.name,
+      service: service.name,
+      organisation: organisation?.name ?? '',
+      configurationVersion,
+      status: result.status,
+      reason: result.reason ?? '',
+      detail: result.detail,
+      endpoints: result.endpointIds.join(' '),
+      runs: result.runs,
+      events: result.events,
+      firstByteMs: Math.round(result.firstByteMs ?? -1),
+      estimateMs: Math.round(result.estimateMs),
+      durationMs,
+      leftMs: Math.round(input.deadlineAtMs - this.clock.nowMs()),
+      promptTokens: attributes.generation?.promptTokens ?? 0
     })
   }
 }
--- a/packages/gateway/src/node/storeFollower.ts
+++ b/packages/gateway/src/node/storeFollower.ts
@@ -76,7 +76,8 @@
 
   async #watch (revision: number): Promise<StoreFailure | undefined> {
     const { kind, store, listener, waitMs } = this.#options
-    const answer = await store.watch(kind, revision, waitMs)
+    // After an outage the first call does not wait, so that the return of the store is known at once.
+    const answer = await store.watch(kind, revision, this.#failures > 0 ? 0 : waitMs)
     if (answer.isErr()) return answer.error
     this.#noteContact()
     for (const event of answer.value.events) {
--- a/packages/gateway/src/shared/endpointDirectory.ts
+++ b/packages/gateway/src/shared/endpointDirectory.ts
@@ -7,7 +7,7 @@
 }
 
 /** Entries that lapsed during an outage of the store are back within this time of its return, if the endpoint lives. */
-const reappearMs = 2000
+export const reappearMs = 2100
 
 export class EndpointDirectory {
   readonly #endpoints = new Map<string, EndpointEntry>()
@@ -54,8 +54,8 @@
   }
 
   /** Keeps an entry that disappeared during an outage until the endpoint had time to register again. */
-  lapse (id: string, nowMs: number): void {
-    if (this.#endpoints.has(id) && !this.#lapsing.has(id)) this.#lapsing.set(id, nowMs + reappearMs)
+  lapse (id: string, untilMs: number): void {
+    if (this.#endpoints.has(id)) this.#lapsing.set(id, untilMs)
   }
 
   /** Removes lapsed entries whose time is over. */
--- /dev/null
+++ b/packages/policy/src/shared/ledger/__tests__/ledger.test.ts
@@ -0,0 +1,109 @@
+import { describe, expect, it } from 'vitest'
+import {
+  BudgetSlice, closedHolder, emptyLedger, isTight, needsUpdate, othersTotal, planGrant, withClosedHolders, withGrants, type GrantInput
+} from '../index.ts'
+
+const untouched: GrantInput = {
+  prepaidTokens: 1_000_000,
+  othersGrantedTokens: 0,
+  holders: 3,
+  committedTokens: 0,
+  grantedTokens: 0,
+  ratePerMs: 0,
+  waitingTokens: 0
+}
+
+describe('planGrant', () => {
+  it('holds a first slice before any request came, so that the first ones need no store', () => {
+    expect(planGrant(untouched)).toBeGreaterThan(0)
+  })
+
+  it('never grants more than is left, whatever the rate is', () => {
+    for (const othersGrantedTokens of [0, 300_000, 900_000, 999_999, 1_000_000]) {
+      for (const ratePerMs of [0, 1, 1000]) {
+        const granted = planGrant({ ...untouched, othersGrantedTokens, ratePerMs, committedTokens: 0 })
+        expect(granted + othersGrantedTokens).toBeLessThanOrEqual(1_000_000)
+      }
+    }
+  })
+
+  it('shrinks the slice as the budget is used up, because a killed router loses its slice', () => {
+    const rate = { ...untouched, ratePerMs: 5 }
+    const ample = planGrant(rate)
+    const later = planGrant({ ...rate, othersGrantedTokens: 800_000 })
+    expect(later).toBeLessThan(ample / 2)
+  })
+
+  it('grants only what waits in the last part of a budget', () => {
+    const last = { ...untouched, othersGrantedTokens: 960_000, ratePerMs: 5, waitingTokens: 1200 }
+    expect(isTight(last)).toBe(true)
+    expect(planGrant(last)).toBe(1200)
+  })
+
+  it('does not grant for a request that does not fit', () => {
+    expect(planGrant({ ...untouched, othersGrantedTokens: 999_000, waitingTokens: 1200 })).toBe(0)
+  })
+})
+
+describe('needsUpdate', () => {
+  it('writes before the slice is used up', () => {
+    const planned = planGrant({ ...untouched, ratePerMs: 5 })
+    const low = { ...untouched, ratePerMs: 5, grantedTokens: planned, committedTokens: planned * 0.9 }
+    expect(needsUpdate(low)).toBe(true)
+  })
+
+  it('does not write for a slice that is large enough', () => {
+    const planned = planGrant(untouched)
+    expect(needsUpdate({ ...untouched, grantedTokens: planned })).toBe(false)
+  })
+
+  it('returns what is idle once the budget is nearly used up', () => {
+    expect(needsUpdate({ ...untouched, othersGrantedTokens: 960_000, grantedTokens: 5000 })).toBe(true)
+  })
+})
+
+describe('BudgetSlice', () => {
+  it('never reserves beyond the grant', () => {
+    const slice = new BudgetSlice(0)
+    slice.setGranted(100)
+    expect(slice.tryReserve(60, 0, 0)).toBe(true)
+    expect(slice.tryReserve(60, 0, 0)).toBe(false)
+  })
+
+  it('frees what a request did not consume', () => {
+    const slice = new BudgetSlice(0)
+    slice.setGranted(100)
+    slice.tryReserve(100, 0, 0)
+    slice.settle(100, 30)
+    expect(slice.availableTokens).toBe(70)
+  })
+
+  it('keeps the rest of a slice that cannot be refilled for urgent requests', () => {
+    const slice = new BudgetSlice(0)
+    slice.setGranted(1000)
+    slice.setFilled(1000)
+    expect(slice.tryReserve(800, 2, 0)).toBe(false)
+    expect(slice.tryReserve(800, 1, 0)).toBe(true)
+    expect(slice.tryReserve(150, 1, 0)).toBe(false)
+    expect(slice.tryReserve(150, 0, 0)).toBe(true)
+  })
+})
+
+describe('ledger', () => {
+  const grants = new Map([['firm', { grantedTokens: 500, committedTokens: 200 }]])
+
+  it('repeating a write changes nothing, so that a late one does no harm', () => {
+    const once = withGrants(emptyLedger, 'a.1', grants)
+    expect(withGrants(once, 'a.1', grants)).toEqual(once)
+  })
+
+  it('counts the whole grant of an ended process as spent', () => {
+    const ledger = withClosedHolders(withGrants(emptyLedger, 'a.1', grants), holder => holder === 'a.1')
+    expect(ledger.organisations['firm']).toEqual({ [closedHolder]: { grantedTokens: 500, committedTokens: 200 } })
+    expect(othersTotal(ledger, 'firm', 'a.2')).toEqual({ grantedTokens: 500, committedTokens: 200, lostTokens: 300 })
+  })
+
+  it('leaves out the own grant', () => {
+    expect(othersTotal(withGrants(emptyLedger, 'a.1', grants), 'firm', 'a.1').grantedTokens).toBe(0)
+  })
+})
--- a/packages/policy/src/shared/ledger/budgetSlice.ts
+++ b/packages/policy/src/shared/ledger/budgetSlice.ts
@@ -1,12 +1,21 @@
 /** The part of an organisation's budget that this router may spend by itself. */
 
 /** Time constant of the spending rate. */
-const rateTimeMs = 3000
+const rateTimeMs = 6000
+
+/**
+ * Share of a slice that requests of a rank leave to more urgent ones, by rank.
+ * It matters when a slice cannot be refilled: the urgent requests of most
+ * organisations are small, and would otherwise find it spent on large ones.
+ */
+const keptShares: readonly number[] = [0, 0.08, 0.16]
 
 export class BudgetSlice {
   #grantedTokens = 0
   #spentTokens = 0
   #reservedTokens = 0
+  /** Size of the slice when it was last filled. */
+  #filledTokens = 0
   #ratePerMs = 0
   #rateUpdatedMs: number
 
@@ -32,9 +41,15 @@
     this.#grantedTokens = tokens
   }
 
-  /** Reserves the largest size of a request; false when the slice does not cover it. */
-  tryReserve (tokens: number, nowMs: number): boolean {
-    if (tokens > this.availableTokens) return false
+  /** Notes that the slice was filled for the coming seconds; 0 when tokens are granted for each request. */
+  setFilled (tokens: number): void {
+    this.#filledTokens = tokens
+  }
+
+  /** Reserves the largest size of a request; false when the slice does not cover it, or keeps the rest for more urgent ones. Rank 0 is the most urgent. */
+  tryReserve (tokens: number, rank: number, nowMs: number): boolean {
+    const keptShare = keptShares[Math.min(rank, keptShares.length - 1)] ?? 0
+    if (tokens > this.availableTokens - keptShare * this.#filledTokens) return false
     this.#reservedTokens += tokens
     this.#noteRate(tokens, nowMs)
     return true
--- a/packages/policy/src/shared/placement/placeGeneration.ts
+++ b/packages/policy/src/shared/placement/placeGeneration.ts
@@ -48,6 +48,8 @@
 /** Chance that the preferred endpoint has cached the shared part, although this router never sent it there. */
 const homeCachedShare = 0.7
 const failureCostMs = 600
+/** Weight of shared parts read anew against the time that reading them takes. */
+const rereadWeight = 2
 /** Share of the memory above which an engine begins to preempt. */
 const memoryLimitShare = 0.6
 const memoryCostMs = 500
@@ -62,6 +64,12 @@
   return readMs + candidate.running * runningCostMs + memoryMs + candidate.excessMs
 }
 
+/** Cost of reading shared parts at an endpoint that is not theirs: they take memory there, and are read again whenever requests move. */
+function rereadCostMs (choice: GenerationChoice, candidate: GenerationCandidate): number {
+  if (candidate.id === choice.homeId) return 0
+  return Math.max(0, choice.sharedTokens - candidate.cachedTokens) / readTokensPerMs * rereadWeight
+}
+
 /** `undefined` when there is no candidate. */
 export function placeGeneration (choice: GenerationChoice): GenerationPlace | undefined {
   const untried = choice.candidates.filter(candidate => !choice.tried.has(candidate.id))
@@ -71,7 +79,7 @@
   let bestCost = Infinity
   for (const candidate of group) {
     const estimateMs = estimateFirstTokenMs(choice, candidate)
-    const cost = estimateMs + candidate.failureShare * failureCostMs
+    const cost = estimateMs + candidate.failureShare * failureCostMs + rereadCostMs(choice, candidate)
     if (cost >= bestCost) continue
     bestCost = cost
     best = { id: candidate.id, estimateMs }
--- a/packages/router/src/node/budget/__tests__/plugin.test.ts
+++ b/packages/router/src/node/budget/__tests__/plugin.test.ts
@@ -3,7 +3,7 @@
 import { createBudgetOn, membershipKey, objectStoreKey, readBudget, type Membership } from '@buckthorndrift/coordination'
 import type { Member } from '@buckthorndrift/protocol'
 import { budgetServiceKey, controlRegistryKey, createBudgetPlugin } from '../../../index.ts'
-import { MemoryStore } from '../../../../../platform/src/shared/budgets/__tests__/memoryStore.ts'
+import { MemoryStore } from '../../../../../coordination/src/shared/budgets/__tests__/memoryStore.ts'
 
 function memberOf (id: string): Member {
   return { id, incarnation: 'a', role: 'router', vm: id, failureDomain: 'd1', controlUrl: `http://${id}`, leaving: false }
