Weigh shared prompt parts more in placement; infer queueing from short prompts

Ruled out: evictions; the caches hold all shared parts several times. Change: weight 4 for shared parts read elsewhere; times of prompts above 4000 tokens no longer count as a sign of a queue. The log tells whether a place was the preferred one and how much it had to read.

--- a/packages/gateway/src/node/callRun.ts
+++ b/packages/gateway/src/node/callRun.ts
@@ -9,7 +9,7 @@
 import { CallerStream } from './callerStream.ts'
 import type { EndpointPeer } from './endpointPeers.ts'
 import { Exchange, type AnswerHead, type ExchangeFailure } from './exchange.ts'
-import type { CallOutcome, GatewayState } from './gatewayState.ts'
+import type { CallOutcome, GatewayState, Place } from './gatewayState.ts'
 import { PeerUse } from './peerUse.ts'
 
 /** Time that a further attempt needs at least. */
@@ -37,7 +37,7 @@
   #unsent = 0
   /** Whether an attempt was sent whose endpoint did not say that it was not run. */
   #wasSent = false
-  #estimateMs = 0
+  #place: Place | undefined
   #firstByteMs: number | undefined
   #isDone = false
   #lastDetail = ''
@@ -94,16 +94,17 @@
       else this.#refuse('noEndpoint', 'no endpoint takes the request', this.#state.retryAfterMs())
       return
     }
-    this.#send(place.peer, place.estimateMs, place.uncachedTokens)
+    this.#send(place)
   }
 
-  #send (peer: EndpointPeer, estimateMs: number, uncachedTokens: number): void {
+  #send (place: Place): void {
+    const { peer, estimateMs, uncachedTokens } = place
+    this.#place = place
     const { request, attributes, body, organisation, service, route } = this.#input
     this.#head = undefined
     this.#boundary.discardPartial()
     this.#tried.add(peer.entry.id)
     this.#use = new PeerUse(peer, { generation: attributes.generation, uncachedTokens, estimateMs, nowMs: this.#state.clock.nowMs() })
-    this.#estimateMs = estimateMs
     const resumeAfter = this.#boundary.lastId ?? attributes.resumeAfter
     const headers = this.#state.dialect.forwardHeaders(request.rawHeaders, {
       remainingMs: Math.max(1, Math.floor(this.#remainingMs - answerMarginMs)),
@@ -333,7 +334,7 @@
       runs: this.#runs,
       events: this.#boundary.count,
       firstByteMs: this.#firstByteMs === undefined ? undefined : this.#firstByteMs - this.#input.arrivedMs,
-      estimateMs: this.#estimateMs
+      place: this.#place
     })
   }
 }
--- a/packages/gateway/src/node/gatewayState.ts
+++ b/packages/gateway/src/node/gatewayState.ts
@@ -18,6 +18,8 @@
   readonly estimateMs: number
   /** Tokens of the prompt that the endpoint has to read. */
   readonly uncachedTokens: number
+  /** Whether it is the endpoint that all routers prefer for the shared part of the prompt. */
+  readonly isHome: boolean
 }
 
 export interface CallOutcome {
@@ -29,7 +31,8 @@
   readonly runs: number
   readonly events: number
   readonly firstByteMs: number | undefined
-  readonly estimateMs: number
+  /** The last place of the call; `undefined` when it was not sent. */
+  readonly place: Place | undefined
 }
 
 export interface GatewayStateOptions {
@@ -119,7 +122,7 @@
     const candidates = endpoints.map(endpoint => this.peers.of(endpoint, nowMs).callCandidate(this.deployment.failureDomain, nowMs))
     const id = placeCall(candidates, tried, this.#random)
     const peer = id === undefined ? undefined : this.peers.get(id)
-    return peer === undefined ? undefined : { peer, estimateMs: 0, uncachedTokens: 0 }
+    return peer === undefined ? undefined : { peer, estimateMs: 0, uncachedTokens: 0, isHome: false }
   }
 
   #placeGeneration (input: CallInput, endpoints: readonly EndpointEntry[], tried: ReadonlySet<string>, nowMs: number): Place | undefined {
@@ -136,7 +139,7 @@
     const peer = place === undefined ? undefined : this.peers.get(place.id)
     if (place === undefined || peer === undefined) return undefined
     const cachedTokens = candidates.find(candidate => candidate.id === place.id)?.cachedTokens ?? 0
-    return { peer, estimateMs: place.estimateMs, uncachedTokens: Math.max(0, promptTokens - cachedTokens) }
+    return { peer, estimateMs: place.estimateMs, uncachedTokens: Math.max(0, promptTokens - cachedTokens), isHome: place.id === homeId }
   }
 
   /** Accounts for a finished request in log and metrics. */
@@ -161,7 +164,9 @@
       runs: result.runs,
       events: result.events,
       firstByteMs: Math.round(result.firstByteMs ?? -1),
-      estimateMs: Math.round(result.estimateMs),
+      estimateMs: Math.round(result.place?.estimateMs ?? -1),
+      uncachedTokens: result.place?.uncachedTokens ?? 0,
+      isHome: result.place?.isHome ?? false,
       durationMs,
       leftMs: Math.round(input.deadlineAtMs - this.clock.nowMs()),
       promptTokens: attributes.generation?.promptTokens ?? 0
--- a/packages/gateway/src/node/peerUse.ts
+++ b/packages/gateway/src/node/peerUse.ts
@@ -11,6 +11,9 @@
   readonly nowMs: number
 }
 
+/** Longer prompts take long by themselves, so their times say little about what waits at the endpoint. */
+const maxProbeTokens = 4000
+
 /** Tokens in an engine's memory; half of the largest output is the average over the time of a call. */
 function heldTokensOf (generation: Generation | undefined): number {
   return generation === undefined ? 0 : generation.promptTokens + generation.maxOutputTokens / 2
@@ -21,6 +24,7 @@
   readonly sentMs: number
   readonly estimateMs: number
   readonly #generation: Generation | undefined
+  readonly #uncachedTokens: number
   #pendingTokens: number
   #hasFirstByte = false
   #isEnded = false
@@ -30,6 +34,7 @@
     this.sentMs = options.nowMs
     this.estimateMs = options.estimateMs
     this.#generation = options.generation
+    this.#uncachedTokens = options.uncachedTokens
     this.#pendingTokens = options.uncachedTokens
     peer.running++
     peer.heldTokens += heldTokensOf(options.generation)
@@ -42,7 +47,7 @@
     this.#hasFirstByte = true
     this.#clearPending()
     if (this.#generation === undefined) return
-    this.peer.noteExcessMs(nowMs - this.sentMs - this.estimateMs, nowMs)
+    if (this.#uncachedTokens <= maxProbeTokens) this.peer.noteExcessMs(nowMs - this.sentMs - this.estimateMs, nowMs)
     this.peer.prefixes.note(this.#generation.prompt, nowMs)
   }
 
--- a/packages/policy/src/shared/placement/placeGeneration.ts
+++ b/packages/policy/src/shared/placement/placeGeneration.ts
@@ -49,7 +49,7 @@
 const homeCachedShare = 0.7
 const failureCostMs = 600
 /** Weight of shared parts read anew against the time that reading them takes. */
-const rereadWeight = 2
+const rereadWeight = 4
 /** Share of the memory above which an engine begins to preempt. */
 const memoryLimitShare = 0.6
 const memoryCostMs = 500
