--- a/packages/gateway/src/node/budgetLedger.ts
+++ b/packages/gateway/src/node/budgetLedger.ts
@@ -52,6 +52,13 @@
     return this.#shardOf(organisation, this.#shardCount).reserve(organisation, tokens, rank, maxWaitMs)
   }
 
+  /** Whether the store is away and most slices are nearly spent, so that other routers serve better. */
+  isStarved (): boolean {
+    if (this.#prepaid.size === 0) return false
+    if (this.#shardCount === undefined) return true
+    return [...this.#shards.values()].some(shard => shard.isStarved())
+  }
+
   /** Gives all unspent tokens back before the process ends. */
   async close (): Promise<void> {
     this.#stopTicking()
--- a/packages/gateway/src/node/ledgerShard.ts
+++ b/packages/gateway/src/node/ledgerShard.ts
@@ -91,6 +91,13 @@
     void this.#settle().finally(() => { this.#isUpdating = false })
   }
 
+  /** Whether the store is away and at least a third of the slices is nearly spent. */
+  isStarved (): boolean {
+    if (!this.#isOutage) return false
+    const spent = [...this.slices.values()].filter(slice => slice.isNearlySpent).length
+    return spent * 3 >= this.slices.size
+  }
+
   /** Gives back what was not committed, so that other routers can spend it. */
   async close (): Promise<void> {
     this.#isClosing = true
--- a/packages/gateway/src/node/startGateway.ts
+++ b/packages/gateway/src/node/startGateway.ts
@@ -73,7 +73,7 @@
     random,
     onConfiguration: table => { callers.configure(table.configuration.limits) }
   })
-  const isReady = (): boolean => followers.isLoaded() && !state.isStopping
+  const isReady = (): boolean => followers.isLoaded() && !state.isStopping && !ledger.isStarved()
   const servers = [callers.server, createReadinessServer(dialect.readyPath, isReady)]
   const callersPort = await listen(servers[0]!, deployment.callers)
   const readinessPort = await listen(servers[1]!, deployment.readiness)
--- a/packages/policy/src/shared/ledger/budgetSlice.ts
+++ b/packages/policy/src/shared/ledger/budgetSlice.ts
@@ -10,6 +10,8 @@
  */
 const keptShares: readonly number[] = [0, 0.08, 0.16]
 
+const nearlySpentShare = 0.2
+
 export class BudgetSlice {
   #grantedTokens = 0
   #spentTokens = 0
@@ -36,6 +38,11 @@
     return this.#grantedTokens - this.committedTokens
   }
 
+  /** Whether little is left of what the slice held when it was last filled. */
+  get isNearlySpent (): boolean {
+    return this.availableTokens <= this.#filledTokens * nearlySpentShare
+  }
+
   /** Takes over what the store has confirmed. */
   setGranted (tokens: number): void {
     this.#grantedTokens = tokens
