Refuse at once in a known outage; load less at the start

Cause: requests without a budget waited half of their objective for a store that was known to be away, and were told to come back after 0.6 s of outages of 8 s; a restarted router spent 0.37 s of processor time on loading (two thirds of it undici's index and zod's classic API). Change: an outage is known from the last call; the time to come back grows with the outage; the bundle has the two dispatchers of undici and zod's small API; slices of up to 14 s while much of a budget is left, refilled below 0.75.

--- a/packages/gateway/src/node/ledgerShard.ts
+++ b/packages/gateway/src/node/ledgerShard.ts
@@ -24,6 +24,9 @@
 }
 
 const retryMs = 60
+/** Bounds of the time after which a refused request is worth repeating. */
+const shortestRetryMs = 300
+const longestRetryMs = 4000
 const maxRounds = 12
 const maxCloseRounds = 4
 /** Pause after a failed call while no request waits. */
@@ -50,11 +53,12 @@
   readonly slices = new Map<string, BudgetSlice>()
   #ledger: Ledger = emptyLedger
   #revision: number | undefined
+  #learnedMs = 0
   /** Revision that a write without an answer expected; the write may still take effect while the object is at it. */
   #uncertainRevision: number | undefined
   #waiters: Waiter[] = []
-  /** Whether the last call to the store got no answer; slices then keep a rest for urgent requests. */
-  #isOutage = false
+  /** Since when the store has not answered; slices then keep a rest for urgent requests. */
+  #outageSinceMs: number | undefined
   #isUpdating = false
   #isClosing = false
   #nextUpdateMs = 0
@@ -79,7 +83,13 @@
     const granted = this.#tryReserve(organisation, tokens, rank)
     if (granted !== undefined) return granted
     return new Promise(resolve => {
-      this.#waiters.push({ organisation, tokens, rank, deadlineMs: this.#nowMs() + maxWaitMs, resolve })
+      const waiter = { organisation, tokens, rank, deadlineMs: this.#nowMs() + maxWaitMs, resolve }
+      // The store is asked again at intervals anyway; waiting for it would only delay the refusal.
+      if (this.#outageSinceMs !== undefined) {
+        this.#refuse(waiter, 'unavailable')
+        return
+      }
+      this.#waiters.push(waiter)
       this.update()
     })
   }
@@ -93,7 +103,7 @@
 
   /** Whether the store is away and at least a third of the slices is nearly spent. */
   isStarved (): boolean {
-    if (!this.#isOutage) return false
+    if (this.#outageSinceMs === undefined) return false
     const spent = [...this.slices.values()].filter(slice => slice.isNearlySpent).length
     return spent * 3 >= this.slices.size
   }
@@ -118,7 +128,7 @@
 
   #tryReserve (organisation: string, tokens: number, rank: number): Reservation | undefined {
     const slice = this.slice(organisation)
-    if (!slice.tryReserve(tokens, this.#isOutage ? rank : 0, this.#nowMs())) return undefined
+    if (!slice.tryReserve(tokens, this.#outageSinceMs === undefined ? 0 : rank, this.#nowMs())) return undefined
     let isSettled = false
     return {
       kind: 'reserved',
@@ -138,7 +148,7 @@
       if (this.#revision !== undefined && grants.size === 0 && (isFresh || this.#waiters.length === 0)) break
       const failure = grants.size === 0 ? await this.#read() : await this.#write(grants)
       isFresh = failure === undefined || failure.kind === 'conflict'
-      this.#isOutage = !isFresh
+      this.#outageSinceMs = isFresh ? undefined : this.#outageSinceMs ?? this.#nowMs()
       if (isFresh) continue
       this.#nextUpdateMs = this.#nowMs() + outagePauseMs * (1 + this.#options.random())
       this.#refuseLate(failure!)
@@ -245,6 +255,7 @@
       return
     }
     this.#ledger = parsed.data
+    this.#learnedMs = this.#nowMs()
     this.#revision = object.revision
     const isUncertain = this.#uncertainRevision === object.revision
     if (!isUncertain) this.#uncertainRevision = undefined
@@ -271,34 +282,49 @@
     this.#waiters = []
     for (const waiter of waiting) {
       if (waiter.deadlineMs > nowMs) this.#waiters.push(waiter)
-      else waiter.resolve({ kind: 'unavailable', retryAfterMs: heldElsewhereMs })
+      else this.#refuse(waiter, failure.kind)
     }
-    if (this.#waiters.length < waiting.length) this.#options.log.event('ledgerUnavailable', { object: this.name, failure: failure.kind })
   }
 
   /** Answers the waiters whose tokens are not free, by what the ledger says. */
   #judgeWaiters (): void {
-    for (const waiter of this.#waiters.splice(0)) {
-      const prepaidTokens = this.#prepaid(waiter.organisation) ?? 0
-      const others = othersTotal(this.#ledger, waiter.organisation, this.#options.holder)
-      const leftTokens = prepaidTokens - others.committedTokens - this.slice(waiter.organisation).committedTokens
-      const isExhausted = this.#revision !== undefined && waiter.tokens > leftTokens
-      this.#options.log.event('budgetRefused', {
-        organisation: waiter.organisation,
-        tokens: waiter.tokens,
-        prepaidTokens,
-        leftTokens,
-        isExhausted,
-        othersGrantedTokens: others.grantedTokens,
-        othersCommittedTokens: others.committedTokens,
-        committedTokens: this.slice(waiter.organisation).committedTokens,
-        grantedTokens: this.slice(waiter.organisation).grantedTokens,
-        ledgerRevision: this.#revision ?? null
-      })
-      // What ended routers held does not come back; only a larger budget helps.
-      const isLost = this.#revision !== undefined && waiter.tokens > leftTokens - others.lostTokens
-      waiter.resolve(isExhausted ? { kind: 'exhausted' } : { kind: 'unavailable', retryAfterMs: isLost ? topUpMs : heldElsewhereMs })
-    }
+    for (const waiter of this.#waiters.splice(0)) this.#refuse(waiter, 'none')
+  }
+
+  #refuse (waiter: Waiter, storeFailure: StoreFailure['kind'] | 'none'): void {
+    const { organisation, tokens } = waiter
+    const prepaidTokens = this.#prepaid(organisation) ?? 0
+    const slice = this.slice(organisation)
+    const others = othersTotal(this.#ledger, organisation, this.#options.holder)
+    const leftTokens = prepaidTokens - others.committedTokens - slice.committedTokens
+    const isKnown = storeFailure === 'none' && this.#revision !== undefined
+    const isExhausted = isKnown && tokens > leftTokens
+    // What ended routers held does not come back; only a larger budget helps.
+    const isLost = isKnown && tokens > leftTokens - others.lostTokens
+    this.#options.log.event('budgetRefused', {
+      organisation,
+      tokens,
+      rank: waiter.rank,
+      prepaidTokens,
+      leftTokens,
+      lostTokens: others.lostTokens,
+      othersGrantedTokens: others.grantedTokens,
+      othersCommittedTokens: others.committedTokens,
+      grantedTokens: slice.grantedTokens,
+      committedTokens: slice.committedTokens,
+      tokensPerS: Math.round(slice.ratePerMs(this.#nowMs()) * 1000),
+      ledgerRevision: this.#revision ?? null,
+      ledgerAgeMs: Math.round(this.#nowMs() - this.#learnedMs),
+      storeFailure,
+      isExhausted
+    })
+    waiter.resolve(isExhausted ? { kind: 'exhausted' } : { kind: 'unavailable', retryAfterMs: isLost ? topUpMs : this.#retryAfterMs() })
+  }
+
+  /** An outage is expected to last about as long again as it has lasted. */
+  #retryAfterMs (): number {
+    const outageMs = this.#outageSinceMs === undefined ? heldElsewhereMs : this.#nowMs() - this.#outageSinceMs
+    return Math.min(longestRetryMs, Math.max(shortestRetryMs, outageMs)) * (0.75 + this.#options.random() / 2)
   }
 
   #pause (durationMs: number): Promise<void> {
--- a/packages/policy/src/shared/ledger/ledgerValue.ts
+++ b/packages/policy/src/shared/ledger/ledgerValue.ts
@@ -3,21 +3,23 @@
  * organisation's prepaid tokens. All values are absolute, so that a write that
  * is repeated or takes effect late changes nothing.
  */
-import { z } from 'zod'
+// The small variant of the library: a router that restarts loads this before it serves.
+import * as z from 'zod/mini'
 
 /** What one router holds of one budget. */
-const grantSchema = z.object({
+const tokens = z.number().check(z.nonnegative())
+const grantSchema = z.readonly(z.object({
   /** Tokens that the router may spend in all since it started. */
-  grantedTokens: z.number().nonnegative(),
+  grantedTokens: tokens,
   /** Tokens of these that it had spent or reserved when it last wrote. */
-  committedTokens: z.number().nonnegative()
-}).readonly()
+  committedTokens: tokens
+}))
 export type Grant = z.infer<typeof grantSchema>
 
-export const ledgerSchema = z.object({
+export const ledgerSchema = z.readonly(z.object({
   /** By organisation, then by holder: the id of a router process. */
   organisations: z.record(z.string(), z.record(z.string(), grantSchema))
-}).readonly()
+}))
 export type Ledger = z.infer<typeof ledgerSchema>
 
 export const emptyLedger: Ledger = { organisations: {} }
--- a/packages/policy/src/shared/ledger/planGrant.ts
+++ b/packages/policy/src/shared/ledger/planGrant.ts
@@ -19,17 +19,17 @@
  * carries the router through an outage of the store; towards the end of the
  * budget slices shrink.
  */
-const longestHorizonMs = 10_000
+const longestHorizonMs = 14_000
 const shortestHorizonMs = 400
 /** Unassigned share of the budget below which nothing is held in advance. */
 const tightShare = 0.06
 /** Unassigned share from which the longest horizon is used. */
-const ampleShare = 0.5
+const ampleShare = 0.6
 /** Slice of an untouched budget, as a share of it, before the spending rate is known. */
 const firstShare = 0.05
 
 /** A slice is refilled below this share of the planned one, and partly returned above this multiple of it. */
-const refillShare = 0.5
+const refillShare = 0.75
 const returnFactor = 3
 
 /** Tokens that nobody was granted, if this router gave back all that it has not committed. */
--- a/scripts/bundleGateway.mjs
+++ b/scripts/bundleGateway.mjs
@@ -1,6 +1,24 @@
 // Bundles the gateway into one file: loading hundreds of modules costs a restarted process most of its first second.
 import { build } from 'esbuild'
 
+// The parts of the library that the gateway uses; its index also loads fetch, WebSocket and caches.
+const undiciParts = `
+  import Agent from 'undici/lib/dispatcher/agent.js'
+  import Client from 'undici/lib/dispatcher/client.js'
+  import Dispatcher from 'undici/lib/dispatcher/dispatcher.js'
+  import request from 'undici/lib/api/api-request.js'
+  Dispatcher.prototype.request = request
+  export { Agent, Client }
+`
+
+const useUndiciParts = {
+  name: 'use-undici-parts',
+  setup (context) {
+    context.onResolve({ filter: /^undici$/ }, () => ({ path: 'parts', namespace: 'undici-parts' }))
+    context.onLoad({ filter: /.*/, namespace: 'undici-parts' }, () => ({ contents: undiciParts, resolveDir: process.cwd() }))
+  }
+}
+
 await build({
   entryPoints: ['platform/src/main.ts'],
   outfile: 'target/buckthorndrift.mjs',
@@ -12,5 +30,6 @@
   minify: true,
   keepNames: true,
   legalComments: 'none',
+  plugins: [useUndiciParts],
   banner: { js: "import { createRequire } from 'node:module'; const require = createRequire(import.meta.url);" }
 })
