Explain a request from its id; log readiness and avoided endpoints

Cause: the users' on-call engineers have only logs and metrics; a failed request could not be followed across routers from its id. The retry budget's fixed part was divided by eight routers whatever the fleet's size, and a booking could go out on a connection that its endpoint had dropped. Ruled out: a membership of its own; the ledger's holders are the routers.

--- a/packages/cli/src/node/commandLine.ts
+++ b/packages/cli/src/node/commandLine.ts
@@ -3,6 +3,7 @@
 import { runSafely, subcommands } from 'cmd-ts'
 import { exitCodes } from '../shared/exitCodes.ts'
 import { budgetsCommand, topUpCommand } from './commands/budgets.ts'
+import { explainCommand } from './commands/explain.ts'
 import { applyCommand, checkCommand } from './commands/fleet.ts'
 import { keysCommand, organisationsCommand } from './commands/organisations.ts'
 import { drainCommand, rolloutsCommand, servicesCommand, statusCommand } from './commands/processes.ts'
@@ -30,11 +31,13 @@
     'top-up': topUpCommand,
     refusals: refusalsCommand,
     billing: billingCommand,
-    drain: drainCommand
+    drain: drainCommand,
+    explain: explainCommand
   },
   examples: [
     { description: 'show what a fleet text changes, ask, and apply it', command: 'buckthorndrift apply fleet.yaml --wait' },
-    { description: 'who was turned away in the last hour, and why', command: 'buckthorndrift refusals --from 1h' }
+    { description: 'who was turned away in the last hour, and why', command: 'buckthorndrift refusals --from 1h' },
+    { description: 'what became of one request', command: 'buckthorndrift explain 9c41d07be2a35f68 router-*.log' }
   ]
 })
 
--- /dev/null
+++ b/packages/cli/src/node/commands/explain.ts
@@ -0,0 +1,44 @@
+/** `buckthorndrift explain` */
+import { readFileSync } from 'node:fs'
+import { command, positional, restPositionals, string } from 'cmd-ts'
+import { exitCodes, type ExitCode } from '../../shared/exitCodes.ts'
+import { explain, type RequestLine } from '../../shared/explain.ts'
+import { jsonArg } from '../connection.ts'
+import { print, printError, printJson } from '../output.ts'
+
+const standardInput = 0
+
+function * linesOf (files: readonly string[]): Generator<string> {
+  for (const file of files.length === 0 ? [standardInput] : files) yield * readFileSync(file, 'utf8').split('\n')
+}
+
+const fieldsShownElsewhere: ReadonlySet<string> = new Set(['attemptId', 'node', 'scope', 'event', 'logLevel'])
+
+function evidence (line: RequestLine): string {
+  const fields = Object.entries(line.context)
+    .filter(([name, value]) => !fieldsShownElsewhere.has(name) && value !== '' && value !== null)
+    .map(([name, value]) => `${name}=${String(value)}`)
+  return `  ${new Date(line.atMs).toISOString()} ${line.node} ${line.message}\n    ${fields.join(' ')}`
+}
+
+function run (id: string, files: readonly string[], json: boolean): ExitCode {
+  const found = explain(id, linesOf(files))
+  if (found === undefined) {
+    printError(`no line of these logs has the request id ${id}`)
+    return exitCodes.failed
+  }
+  if (json) printJson(found)
+  else print([found.cause, ...found.lines.map(evidence)].join('\n'))
+  return exitCodes.done
+}
+
+export const explainCommand = command({
+  name: 'explain',
+  description: 'Say what became of one request, from the log lines of any number of processes.',
+  args: {
+    id: positional({ type: string, displayName: 'ID', description: 'id of the attempt, as the caller sent it' }),
+    files: restPositionals({ type: string, displayName: 'FILE', description: 'log files; standard input without any' }),
+    json: jsonArg
+  },
+  handler: ({ id, files, json }) => Promise.resolve(run(id, files, json))
+})
--- a/packages/gateway/src/node/budgetLedger.ts
+++ b/packages/gateway/src/node/budgetLedger.ts
@@ -13,6 +13,8 @@
 const layoutName = 'layout'
 /** Least time between two writes of one ledger object without a waiting request. */
 const updateIntervalMs = 250
+/** Size of the fleet that is assumed before the ledger was read. */
+const unknownRouterCount = 32
 
 export class BudgetLedger {
   readonly #options: LedgerOptions
@@ -52,6 +54,13 @@
     return this.#shardOf(organisation, this.#shardCount).reserve(organisation, tokens, rank, maxWaitMs)
   }
 
+  /** Routers of the fleet, by the holders in the ledger; those that ended without a word count until their node comes back. */
+  routerCount (): number {
+    let count = 0
+    for (const shard of this.#shards.values()) count = Math.max(count, shard.routerCount)
+    return count === 0 ? unknownRouterCount : count
+  }
+
   /** Whether the store is away and most slices are nearly spent, so that other routers serve better. */
   isStarved (): boolean {
     if (this.#prepaid.size === 0) return false
--- a/packages/gateway/src/node/callRun.ts
+++ b/packages/gateway/src/node/callRun.ts
@@ -121,6 +121,7 @@
       path: request.url ?? '/',
       headers,
       body,
+      isRepeatable: isRepeatable(route),
       attemptId: attributes.attemptId
     }, {
       onHead: head => { this.#onHead(head) },
@@ -203,7 +204,7 @@
     const nowMs = this.#state.clock.nowMs()
     const sentMs = this.#use?.sentMs ?? nowMs
     const peer = this.#leavePeer()
-    peer?.health.note(isServerError, nowMs)
+    this.#state.noteHealth(peer, isServerError ? 'failed' : 'served')
     if (!this.#isStream) peer?.noteAnswerMs(nowMs - sentMs)
     if (isServerError && isRepeatable(this.#input.route) && !this.#stream.isStarted && this.#mayRepeat()) {
       this.#stream.discardHeld()
@@ -219,7 +220,7 @@
   #onRejected (status: number): void {
     const peer = this.#leavePeer()
     const nowMs = this.#state.clock.nowMs()
-    if (status === 421) peer?.health.noteDown(nowMs)
+    if (status === 421) this.#state.noteHealth(peer, 'down')
     this.#lastDetail = `the endpoint rejected the request with ${status}`
     this.#noteUnsent()
     if (this.#unsent < maxUnsentAttempts && this.#remainingMs > minAttemptMs && this.#state.quotaOf(this.#input.service.name).tryTake(nowMs)) {
@@ -233,11 +234,10 @@
   #onFailure (failure: ExchangeFailure): void {
     if (this.#isDone) return
     const peer = this.#leavePeer()
-    const nowMs = this.#state.clock.nowMs()
     this.#lastDetail = failure.detail
     this.#stream.discardHeld()
     if (failure.kind === 'notConnected') {
-      peer?.health.noteDown(nowMs)
+      this.#state.noteHealth(peer, 'down')
       this.#noteUnsent()
       if (this.#unsent < maxUnsentAttempts && this.#remainingMs > minAttemptMs) {
         this.#retry(failure.detail)
@@ -247,7 +247,7 @@
       else this.#fail('endpointLost', failure.detail)
       return
     }
-    peer?.health.note(true, nowMs)
+    this.#state.noteHealth(peer, 'failed')
     if (this.#head === undefined) this.#runs++
     this.#head = undefined
     this.#verdict = mayHaveRun
@@ -283,7 +283,7 @@
   #onDeadline (): void {
     if (this.#isDone) return
     this.#exchange?.abort()
-    this.#leavePeer()?.health.note(true, this.#state.clock.nowMs())
+    this.#state.noteHealth(this.#leavePeer(), 'failed')
     if (this.#wasSent) this.#verdict = mayHaveRun
     this.#fail('deadlineExceeded', 'the deadline passed before the answer was complete')
   }
--- a/packages/gateway/src/node/endpointConnections.ts
+++ b/packages/gateway/src/node/endpointConnections.ts
@@ -10,6 +10,8 @@
 const connectTimeoutMs = 500
 /** Idle time of a connection whose endpoint states no timeout. */
 const idleTimeoutMs = 700
+/** Idle time up to which a connection carries a request that cannot be repeated. */
+const recentMs = 250
 /** Margin below the idle timeout that an endpoint states. */
 const idleMarginMs = 400
 
@@ -23,6 +25,7 @@
 
 interface Slot extends Connection {
   isBusy: boolean
+  usedMs: number
   isClosed: boolean
 }
 
@@ -49,20 +52,30 @@
     return this.#idle.length
   }
 
-  acquire (): Connection {
-    for (;;) {
-      const slot = this.#idle.shift()
-      if (slot === undefined) return this.#create()
-      if (slot.isClosed) continue
-      slot.isBusy = true
-      return slot
-    }
+  /**
+   * A connection for one request. For a request that cannot be repeated only a
+   * recently used one will do: an endpoint may have dropped an idle connection,
+   * and a reset leaves open whether the request ran.
+   */
+  acquire (isRepeatable: boolean): Connection {
+    const slot = isRepeatable ? this.#idle.shift() : this.#takeRecent()
+    if (slot === undefined) return this.#create()
+    slot.isBusy = true
+    return slot
+  }
+
+  #takeRecent (): Slot | undefined {
+    const slot = this.#idle.at(-1)
+    if (slot === undefined || performance.now() - slot.usedMs > recentMs) return undefined
+    this.#idle.pop()
+    return slot
   }
 
   /** Gives a connection back; one that is not reusable is closed. */
   release (connection: Connection, isReusable: boolean): void {
     const slot = connection as Slot
     slot.isBusy = false
+    slot.usedMs = performance.now()
     if (slot.isClosed) return
     if (isReusable) this.#idle.push(slot)
     else this.#close(slot)
@@ -115,6 +128,7 @@
     const slot: Slot = {
       client,
       isBusy: true,
+      usedMs: 0,
       isClosed: false,
       isReset: () => wasReset || socket?.errored != null,
       isConnected: () => wasConnected
--- a/packages/gateway/src/node/exchange.ts
+++ b/packages/gateway/src/node/exchange.ts
@@ -9,6 +9,8 @@
   readonly path: string
   readonly headers: string[]
   readonly body: Buffer | undefined
+  /** Whether the request may run again after a reset. */
+  readonly isRepeatable: boolean
   /** Id that the answer has to carry. */
   readonly attemptId: string | undefined
 }
@@ -44,7 +46,7 @@
 
   constructor (connections: EndpointConnections, dialect: Dialect, request: ExchangeRequest, listener: ExchangeListener) {
     this.#connections = connections
-    this.#connection = connections.acquire()
+    this.#connection = connections.acquire(request.isRepeatable)
     this.#listener = listener
     this.#connection.client.dispatch({
       method: request.method as Dispatcher.HttpMethod,
--- a/packages/gateway/src/node/gatewayState.ts
+++ b/packages/gateway/src/node/gatewayState.ts
@@ -51,8 +51,6 @@
 /** Ranks of an engine for each priority of an organisation. */
 const ranksPerPriority = 3
 const retryAfterMs = 400
-/** Largest number of routers among which the fixed part of the retry budget is divided. */
-const expectedRouters = 8
 /** Part of the share that routers use, because requests that moved between windows are counted once only. */
 const retryShareUse = 0.75
 
@@ -87,7 +85,7 @@
     let quota = this.#quotas.get(service)
     if (quota === undefined) {
       const { retryShare, retrySlack, retryWindowMs } = this.deployment
-      quota = new RetryQuota({ share: retryShare * retryShareUse, slack: retrySlack / expectedRouters, windowMs: retryWindowMs })
+      quota = new RetryQuota({ share: retryShare * retryShareUse, slack: () => retrySlack * retryShareUse / this.ledger.routerCount(), windowMs: retryWindowMs })
       this.#quotas.set(service, quota)
     }
     return quota
@@ -114,6 +112,18 @@
     return retryAfterMs * (0.75 + this.#random() / 2)
   }
 
+  /** Notes how a request at an endpoint ended; `down` concerns every request, such as a refused connection. */
+  noteHealth (peer: EndpointPeer | undefined, outcome: 'served' | 'failed' | 'down'): void {
+    if (peer === undefined) return
+    const nowMs = this.clock.nowMs()
+    const wasAvoided = peer.health.isAvoided(nowMs)
+    if (outcome === 'down') peer.health.noteDown(nowMs)
+    else peer.health.note(outcome === 'failed', nowMs)
+    if (wasAvoided || !peer.health.isAvoided(nowMs)) return
+    const { id, service, address } = peer.entry
+    this.log.event('endpointAvoided', { endpoint: id, service, address, outcome, failureShare: Number(peer.health.failureShare(nowMs).toFixed(2)) })
+  }
+
   /** Chooses an endpoint among those not tried yet; `undefined` when there is none. */
   place (input: CallInput, tried: ReadonlySet<string>): Place | undefined {
     const endpoints = this.directory.ready(input.service.name)
--- a/packages/gateway/src/node/ledgerShard.ts
+++ b/packages/gateway/src/node/ledgerShard.ts
@@ -1,7 +1,7 @@
 /** One ledger object of the store, and this router's slices of the budgets in it. */
 import type { Log, TimerService } from '@buckthorndrift/kernel'
 import {
-  BudgetSlice, emptyLedger, holderCount, isTight, ledgerSchema, needsUpdate, othersTotal, planGrant, withClosedHolders, withGrants,
+  BudgetSlice, emptyLedger, holderCount, ledgerHolders, isTight, ledgerSchema, needsUpdate, othersTotal, planGrant, withClosedHolders, withGrants,
   type Grant, type GrantInput, type Ledger
 } from '@buckthorndrift/policy'
 import type { FleetStore, StoredObject, StoreFailure } from '../shared/store.ts'
@@ -54,6 +54,7 @@
   #ledger: Ledger = emptyLedger
   #revision: number | undefined
   #learnedMs = 0
+  #routerCount = 1
   /** Revision that a write without an answer expected; the write may still take effect while the object is at it. */
   #uncertainRevision: number | undefined
   #waiters: Waiter[] = []
@@ -101,6 +102,11 @@
     void this.#settle().finally(() => { this.#isUpdating = false })
   }
 
+  /** Routers that hold a part of any budget here, this one included. */
+  get routerCount (): number {
+    return this.#routerCount
+  }
+
   /** Whether the store is away and at least a third of the slices is nearly spent. */
   isStarved (): boolean {
     if (this.#outageSinceMs === undefined) return false
@@ -256,6 +262,7 @@
     }
     this.#ledger = parsed.data
     this.#learnedMs = this.#nowMs()
+    this.#routerCount = ledgerHolders(parsed.data, this.#options.holder).size
     this.#revision = object.revision
     const isUncertain = this.#uncertainRevision === object.revision
     if (!isUncertain) this.#uncertainRevision = undefined
--- a/packages/gateway/src/node/startGateway.ts
+++ b/packages/gateway/src/node/startGateway.ts
@@ -73,7 +73,17 @@
     random,
     onConfiguration: table => { callers.configure(table.configuration.limits) }
   })
-  const isReady = (): boolean => followers.isLoaded() && !state.isStopping && !ledger.isStarved()
+  let wasReady = false
+
+  function isReady (): boolean {
+    const isLoaded = followers.isLoaded()
+    const isStarved = ledger.isStarved()
+    const now = isLoaded && !state.isStopping && !isStarved
+    if (now !== wasReady) log.event('gatewayReady', { isReady: now, isLoaded, isStopping: state.isStopping, isStarved })
+    wasReady = now
+    return now
+  }
+
   const servers = [callers.server, createReadinessServer(dialect.readyPath, isReady)]
   const callersPort = await listen(servers[0]!, deployment.callers)
   const readinessPort = await listen(servers[1]!, deployment.readiness)
--- a/packages/gateway/src/shared/__tests__/shared.test.ts
+++ b/packages/gateway/src/shared/__tests__/shared.test.ts
@@ -86,7 +86,7 @@
 
 describe('RetryQuota', () => {
   it('bounds repeats in every window by a share of the requests', () => {
-    const quota = new RetryQuota({ share: 0.2, slack: 2, windowMs: 10_000 })
+    const quota = new RetryQuota({ share: 0.2, slack: () => 2, windowMs: 10_000 })
     for (let request = 0; request < 50; request++) quota.noteRequest(request * 10)
     let taken = 0
     while (quota.tryTake(600)) taken++
@@ -95,7 +95,7 @@
   })
 
   it('allows repeats again when the window has passed', () => {
-    const quota = new RetryQuota({ share: 0, slack: 1, windowMs: 1000 })
+    const quota = new RetryQuota({ share: 0, slack: () => 1, windowMs: 1000 })
     expect(quota.tryTake(0)).toBe(true)
     expect(quota.tryTake(900)).toBe(false)
     expect(quota.tryTake(1200)).toBe(true)
--- a/packages/gateway/src/shared/retryQuota.ts
+++ b/packages/gateway/src/shared/retryQuota.ts
@@ -1,7 +1,7 @@
 /**
  * Share of a service's retry budget that this router may use. Routers do not
- * ask each other: each keeps to a share of its own requests, and to a part of
- * the fleet's fixed allowance that holds for the largest fleet expected.
+ * ask each other: each keeps to a share of its own requests, and to its part of
+ * the fleet's fixed allowance.
  */
 
 interface Bucket {
@@ -11,8 +11,10 @@
 }
 
 export interface RetryQuotaSettings {
+  /** Repeats as a share of the requests. */
   readonly share: number
-  readonly slack: number
+  /** Repeats beyond the share, for this router; changes with the size of the fleet. */
+  readonly slack: () => number
   readonly windowMs: number
 }
 
@@ -40,7 +42,7 @@
       requests += each.requests
       repeats += each.repeats
     }
-    if (repeats + 1 > requests * this.#settings.share + this.#settings.slack) return false
+    if (repeats + 1 > requests * this.#settings.share + this.#settings.slack()) return false
     bucket.repeats++
     return true
   }
--- a/packages/policy/src/shared/ledger/ledgerValue.ts
+++ b/packages/policy/src/shared/ledger/ledgerValue.ts
@@ -54,6 +54,16 @@
   return Object.keys(ledger.organisations[organisation] ?? {}).filter(id => id !== closedHolder).length
 }
 
+/** All routers that hold a grant, and `own`. */
+export function ledgerHolders (ledger: Ledger, own: string): ReadonlySet<string> {
+  const holders = new Set<string>([own])
+  for (const grants of Object.values(ledger.organisations)) {
+    for (const holder of Object.keys(grants)) holders.add(holder)
+  }
+  holders.delete(closedHolder)
+  return holders
+}
+
 /** The ledger with other grants of one holder. */
 export function withGrants (ledger: Ledger, holder: string, grants: ReadonlyMap<string, Grant>): Ledger {
   const organisations = { ...ledger.organisations }
