Keep one ledger object for each organisation

Ruled out: too small budgets; the refusals name free tokens of 60 %. Change: an object for each organisation, read when its first request comes; backoff after conflicts; a look at a stale ledger while idle tokens are held.

--- a/packages/gateway/src/node/callBudget.ts
+++ b/packages/gateway/src/node/callBudget.ts
@@ -2,7 +2,7 @@
 import type { Generation } from '../shared/call.ts'
 import type { Organisation, Route } from '../shared/fleet.ts'
 import type { BudgetLedger } from './budgetLedger.ts'
-import type { Reservation } from './ledgerShard.ts'
+import type { Reservation } from './organisationLedger.ts'
 
 export class CallBudget {
   #reservation: Extract<Reservation, { kind: 'reserved' }> | undefined
--- /dev/null
+++ b/packages/gateway/src/node/organisationLedger.ts
@@ -0,0 +1,321 @@
+/** One organisation's budget: this router's slice of it, kept in step with the ledger object in the store. */
+import type { Log, TimerService } from '@buckthorndrift/kernel'
+import {
+  BudgetSlice,
+  emptyLedger,
+  isTight,
+  ledgerSchema,
+  needsUpdate,
+  othersTotal,
+  planGrant,
+  routersOf,
+  unassignedShare,
+  withClosedHolders,
+  withGrant,
+  type GrantInput,
+  type Ledger
+} from '@buckthorndrift/policy'
+import type { FleetStore, StoredObject, StoreFailure } from '../shared/store.ts'
+
+export type Reservation =
+  | { readonly kind: 'reserved', settle (consumedTokens: number): void }
+  /** The budget does not cover the request, by what all routers have published. */
+  | { readonly kind: 'exhausted' }
+  /** Nothing is free now; part of the budget may come back from other routers, or the store does not answer. */
+  | { readonly kind: 'unavailable', readonly retryAfterMs: number }
+
+export interface LedgerOptions {
+  readonly store: FleetStore
+  readonly timers: TimerService
+  readonly log: Log
+  /** `<node>.<incarnation>`, unique for each start of a process. */
+  readonly holder: string
+  readonly nodeName: string
+  readonly random: () => number
+}
+
+/** Rounds of reading and writing before the waiting requests are answered. */
+const maxRounds = 12
+const maxCloseRounds = 4
+/** Pause after another router's write came first; doubled each time. */
+const conflictPauseMs = 3
+const longestConflictPauseMs = 50
+const outagePauseMs = 500
+/** Bounds of the time after which a refused request is worth repeating. */
+const shortestRetryMs = 300
+const longestRetryMs = 4000
+/** Pause before a request is worth repeating when other routers hold the rest of the budget. */
+const heldElsewhereMs = 600
+/** Pause before a request is worth repeating when only a larger budget helps. */
+const topUpMs = 10_000
+/** Age of the ledger after which a router that holds idle tokens looks whether others need them. */
+const staleMs = 6000
+/** Unassigned share of the budget below which idle tokens may be missing elsewhere. */
+const scarceShare = 0.4
+
+interface Waiter {
+  readonly tokens: number
+  readonly rank: number
+  readonly deadlineMs: number
+  readonly resolve: (reservation: Reservation) => void
+}
+
+export class OrganisationLedger {
+  readonly #organisation: string
+  readonly #options: LedgerOptions
+  readonly #slice: BudgetSlice
+  #prepaidTokens: number
+  #ledger: Ledger = emptyLedger
+  #learnedMs = 0
+  /** Revision of the object; 0 when there is none, `undefined` when it has to be read. */
+  #revision: number | undefined
+  /** Revision that a write without an answer expected; the write may still take effect while the object is at it. */
+  #uncertainRevision: number | undefined
+  #waiters: Waiter[] = []
+  /** Since when the store has not answered; slices then keep a rest for urgent requests. */
+  #outageSinceMs: number | undefined
+  #nextUpdateMs = 0
+  #isUpdating = false
+  #isClosing = false
+
+  constructor (organisation: string, prepaidTokens: number, options: LedgerOptions) {
+    this.#organisation = organisation
+    this.#prepaidTokens = prepaidTokens
+    this.#options = options
+    this.#slice = new BudgetSlice(this.#nowMs())
+  }
+
+  /** Routers that hold a part of the budget, this one included. */
+  get routerCount (): number {
+    return routersOf(this.#ledger, this.#options.holder)
+  }
+
+  /** Whether the store is away and the slice is nearly spent. */
+  get isStarved (): boolean {
+    return this.#outageSinceMs !== undefined && this.#slice.isNearlySpent
+  }
+
+  setPrepaid (tokens: number): void {
+    this.#prepaidTokens = tokens
+  }
+
+  reserve (tokens: number, rank: number, maxWaitMs: number): Promise<Reservation> | Reservation {
+    if (tokens > this.#prepaidTokens) return { kind: 'exhausted' }
+    const granted = this.#tryReserve(tokens, rank)
+    if (granted !== undefined) return granted
+    return new Promise(resolve => {
+      const waiter = { tokens, rank, deadlineMs: this.#nowMs() + maxWaitMs, resolve }
+      // The store is asked again at intervals anyway; waiting for it would only delay the refusal.
+      if (this.#outageSinceMs !== undefined) {
+        this.#refuse(waiter, 'unavailable')
+        return
+      }
+      this.#waiters.push(waiter)
+      this.update()
+    })
+  }
+
+  /** Writes the ledger if the slice needs it; one write at a time. */
+  update (): void {
+    if (this.#isClosing || this.#isUpdating || (this.#waiters.length === 0 && this.#nowMs() < this.#nextUpdateMs)) return
+    this.#isUpdating = true
+    void this.#settle().finally(() => { this.#isUpdating = false })
+  }
+
+  /** Gives back what was not committed, so that other routers can spend it. */
+  async close (): Promise<void> {
+    this.#isClosing = true
+    for (let round = 0; round < maxCloseRounds; round++) {
+      if (this.#revision === undefined && await this.#read() !== undefined) return
+      const committedTokens = Math.ceil(this.#slice.committedTokens)
+      if (this.#slice.grantedTokens <= committedTokens || await this.#write(committedTokens) === undefined) return
+    }
+  }
+
+  #nowMs (): number {
+    return this.#options.timers.monotonicMs()
+  }
+
+  #tryReserve (tokens: number, rank: number): Reservation | undefined {
+    const slice = this.#slice
+    if (!slice.tryReserve(tokens, this.#outageSinceMs === undefined ? 0 : rank, this.#nowMs())) return undefined
+    let isSettled = false
+    return {
+      kind: 'reserved',
+      settle: consumedTokens => {
+        if (isSettled) return
+        isSettled = true
+        slice.settle(tokens, consumedTokens)
+      }
+    }
+  }
+
+  async #settle (): Promise<void> {
+    let isFresh = false
+    let pauseMs = conflictPauseMs
+    for (let round = 0; round < maxRounds; round++) {
+      this.#serveWaiters()
+      const failure = await this.#step(isFresh)
+      if (failure === 'settled') break
+      isFresh = failure === undefined || failure.kind === 'conflict'
+      this.#outageSinceMs = isFresh ? undefined : this.#outageSinceMs ?? this.#nowMs()
+      if (failure === undefined) continue
+      if (!isFresh) {
+        this.#nextUpdateMs = this.#nowMs() + outagePauseMs * (1 + this.#options.random())
+        this.#refuseLate(failure)
+        if (this.#waiters.length === 0) return
+      }
+      await this.#pause(pauseMs * (0.5 + this.#options.random()))
+      pauseMs = Math.min(longestConflictPauseMs, pauseMs * 2)
+    }
+    this.#serveWaiters()
+    for (const waiter of this.#waiters.splice(0)) this.#refuse(waiter, 'none')
+  }
+
+  /** Makes the next call to the store, or says that none is needed. */
+  async #step (isFresh: boolean): Promise<StoreFailure | undefined | 'settled'> {
+    if (this.#revision === undefined) return await this.#read()
+    const input = this.#input()
+    const granted = planGrant(input)
+    if (needsUpdate(input) && granted !== this.#slice.grantedTokens) return await this.#write(granted)
+    const isStale = this.#nowMs() - this.#learnedMs > staleMs && unassignedShare(input) < scarceShare && this.#slice.availableTokens > 0
+    if (!isFresh && (this.#waiters.length > 0 || isStale)) return await this.#read()
+    return 'settled'
+  }
+
+  #input (): GrantInput {
+    const others = othersTotal(this.#ledger, this.#options.holder)
+    const free = this.#prepaidTokens - others.grantedTokens - this.#slice.committedTokens
+    return {
+      prepaidTokens: this.#prepaidTokens,
+      othersGrantedTokens: others.grantedTokens,
+      holders: this.routerCount,
+      committedTokens: this.#slice.committedTokens,
+      grantedTokens: this.#slice.grantedTokens,
+      ratePerMs: this.#slice.ratePerMs(this.#nowMs()),
+      waitingTokens: this.#waitingTokens(free)
+    }
+  }
+
+  /** Tokens of the waiting requests, in order of arrival, that fit into what is free. */
+  #waitingTokens (freeTokens: number): number {
+    let sum = 0
+    for (const waiter of this.#waiters) {
+      if (sum + waiter.tokens <= freeTokens) sum += waiter.tokens
+    }
+    return sum
+  }
+
+  async #read (): Promise<StoreFailure | undefined> {
+    const answer = await this.#options.store.read('budgets', this.#organisation)
+    if (answer.isOk()) {
+      this.#learn(answer.value)
+      return undefined
+    }
+    if (answer.error.kind !== 'notFound') return answer.error
+    this.#revision = 0
+    this.#learnedMs = this.#nowMs()
+    return undefined
+  }
+
+  async #write (grantedTokens: number): Promise<StoreFailure | undefined> {
+    const expected = this.#revision!
+    const { store, holder } = this.#options
+    const grant = { grantedTokens, committedTokens: this.#slice.committedTokens }
+    // What is given back may not be spent while the write is on its way.
+    if (grantedTokens < this.#slice.grantedTokens) this.#slice.setGranted(grantedTokens)
+    const value = withGrant(withClosedHolders(this.#ledger, id => this.#isFormer(id)), holder, grant)
+    const answer = expected === 0
+      ? await store.create('budgets', this.#organisation, value)
+      : await store.replace('budgets', this.#organisation, value, expected)
+    if (answer.isOk()) {
+      this.#learn(answer.value)
+      this.#slice.setFilled(isTight(this.#input()) ? 0 : this.#slice.availableTokens)
+      return undefined
+    }
+    if (answer.error.kind === 'unavailable' && answer.error.mayHaveApplied) this.#uncertainRevision = expected
+    this.#revision = undefined
+    if (answer.error.kind === 'conflict' && answer.error.object !== undefined) this.#learn(answer.error.object)
+    return answer.error
+  }
+
+  /** Whether a holder is an earlier process of this node. */
+  #isFormer (holder: string): boolean {
+    return holder.startsWith(`${this.#options.nodeName}.`) && holder !== this.#options.holder
+  }
+
+  #learn (object: StoredObject): void {
+    const parsed = ledgerSchema.safeParse(object.value)
+    if (!parsed.success) {
+      this.#options.log.event('ledgerUnreadable', { organisation: this.#organisation, revision: object.revision })
+      this.#revision = undefined
+      return
+    }
+    this.#ledger = parsed.data
+    this.#learnedMs = this.#nowMs()
+    this.#revision = object.revision
+    const isUncertain = this.#uncertainRevision === object.revision
+    if (!isUncertain) this.#uncertainRevision = undefined
+    const granted = parsed.data.holders[this.#options.holder]?.grantedTokens ?? 0
+    // While a write that gives tokens back may still take effect, only the smaller grant is safe.
+    this.#slice.setGranted(isUncertain ? Math.min(this.#slice.grantedTokens, granted) : granted)
+  }
+
+  #serveWaiters (): void {
+    const waiting = this.#waiters
+    this.#waiters = []
+    for (const waiter of waiting) {
+      const reservation = this.#tryReserve(waiter.tokens, waiter.rank)
+      if (reservation === undefined) this.#waiters.push(waiter)
+      else waiter.resolve(reservation)
+    }
+  }
+
+  #refuseLate (failure: StoreFailure): void {
+    const nowMs = this.#nowMs()
+    const waiting = this.#waiters
+    this.#waiters = []
+    for (const waiter of waiting) {
+      if (waiter.deadlineMs > nowMs) this.#waiters.push(waiter)
+      else this.#refuse(waiter, failure.kind)
+    }
+  }
+
+  /** Answers a request whose tokens are not free, by what the ledger says. */
+  #refuse (waiter: Waiter, storeFailure: StoreFailure['kind'] | 'none'): void {
+    const others = othersTotal(this.#ledger, this.#options.holder)
+    const leftTokens = this.#prepaidTokens - others.committedTokens - this.#slice.committedTokens
+    const isKnown = storeFailure === 'none' && this.#revision !== undefined
+    const isExhausted = isKnown && waiter.tokens > leftTokens
+    // What ended routers held does not come back; only a larger budget helps.
+    const isLost = isKnown && waiter.tokens > leftTokens - others.lostTokens
+    this.#options.log.event('budgetRefused', {
+      organisation: this.#organisation,
+      tokens: waiter.tokens,
+      rank: waiter.rank,
+      prepaidTokens: this.#prepaidTokens,
+      leftTokens,
+      lostTokens: others.lostTokens,
+      othersGrantedTokens: others.grantedTokens,
+      othersCommittedTokens: others.committedTokens,
+      grantedTokens: this.#slice.grantedTokens,
+      committedTokens: this.#slice.committedTokens,
+      tokensPerS: Math.round(this.#slice.ratePerMs(this.#nowMs()) * 1000),
+      ledgerRevision: this.#revision ?? null,
+      ledgerAgeMs: Math.round(this.#nowMs() - this.#learnedMs),
+      storeFailure,
+      isExhausted
+    })
+    waiter.resolve(isExhausted ? { kind: 'exhausted' } : { kind: 'unavailable', retryAfterMs: isLost ? topUpMs : this.#retryAfterMs() })
+  }
+
+  /** An outage is expected to last about as long again as it has lasted. */
+  #retryAfterMs (): number {
+    const outageMs = this.#outageSinceMs === undefined ? heldElsewhereMs : this.#nowMs() - this.#outageSinceMs
+    return Math.min(longestRetryMs, Math.max(shortestRetryMs, outageMs)) * (0.75 + this.#options.random() / 2)
+  }
+
+  #pause (durationMs: number): Promise<void> {
+    return new Promise(resolve => { this.#options.timers.after(durationMs, resolve) })
+  }
+}
--- a/packages/policy/src/shared/ledger/__tests__/ledger.test.ts
+++ b/packages/policy/src/shared/ledger/__tests__/ledger.test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, it } from 'vitest'
 import {
-  BudgetSlice, closedHolder, emptyLedger, isTight, needsUpdate, othersTotal, planGrant, withClosedHolders, withGrants, type GrantInput
+  BudgetSlice, closedHolder, emptyLedger, isTight, needsUpdate, othersTotal, planGrant, routersOf, withClosedHolders, withGrant, type GrantInput
 } from '../index.ts'
 
 const untouched: GrantInput = {
@@ -90,20 +90,26 @@
 })
 
 describe('ledger', () => {
-  const grants = new Map([['firm', { grantedTokens: 500, committedTokens: 200 }]])
+  const grant = { grantedTokens: 500, committedTokens: 200 }
 
   it('repeating a write changes nothing, so that a late one does no harm', () => {
-    const once = withGrants(emptyLedger, 'a.1', grants)
-    expect(withGrants(once, 'a.1', grants)).toEqual(once)
+    const once = withGrant(emptyLedger, 'a.1', grant)
+    expect(withGrant(once, 'a.1', grant)).toEqual(once)
   })
 
   it('counts the whole grant of an ended process as spent', () => {
-    const ledger = withClosedHolders(withGrants(emptyLedger, 'a.1', grants), holder => holder === 'a.1')
-    expect(ledger.organisations['firm']).toEqual({ [closedHolder]: { grantedTokens: 500, committedTokens: 200 } })
-    expect(othersTotal(ledger, 'firm', 'a.2')).toEqual({ grantedTokens: 500, committedTokens: 200, lostTokens: 300 })
+    const ledger = withClosedHolders(withGrant(emptyLedger, 'a.1', grant), holder => holder === 'a.1')
+    expect(ledger.holders).toEqual({ [closedHolder]: grant })
+    expect(othersTotal(ledger, 'a.2')).toEqual({ grantedTokens: 500, committedTokens: 200, lostTokens: 300 })
   })
 
   it('leaves out the own grant', () => {
-    expect(othersTotal(withGrants(emptyLedger, 'a.1', grants), 'firm', 'a.1').grantedTokens).toBe(0)
+    expect(othersTotal(withGrant(emptyLedger, 'a.1', grant), 'a.1').grantedTokens).toBe(0)
+  })
+
+  it('counts the routers of the fleet without ended ones', () => {
+    const ledger = withGrant(withGrant(emptyLedger, 'a.1', grant), closedHolder, grant)
+    expect(routersOf(ledger, 'a.1')).toBe(1)
+    expect(routersOf(ledger, 'b.1')).toBe(2)
   })
 })
--- a/packages/policy/src/shared/ledger/index.ts
+++ b/packages/policy/src/shared/ledger/index.ts
@@ -1,3 +1,3 @@
 export { BudgetSlice } from './budgetSlice.ts'
-export { closedHolder, emptyLedger, holderCount, ledgerHolders, ledgerSchema, othersTotal, withClosedHolders, withGrants, type Grant, type Ledger } from './ledgerValue.ts'
-export { unassignedTokens, isTight, needsUpdate, planGrant, type GrantInput } from './planGrant.ts'
+export { closedHolder, emptyLedger, ledgerSchema, othersTotal, routersOf, withClosedHolders, withGrant, type Grant, type Ledger, type OtherHolders } from './ledgerValue.ts'
+export { isTight, needsUpdate, planGrant, unassignedShare, unassignedTokens, type GrantInput } from './planGrant.ts'
--- a/packages/policy/src/shared/ledger/ledgerValue.ts
+++ b/packages/policy/src/shared/ledger/ledgerValue.ts
@@ -1,13 +1,14 @@
 /**
- * Contents of a budget ledger object: what each router was granted of each
+ * Contents of a budget ledger: what each router was granted of one
  * organisation's prepaid tokens. All values are absolute, so that a write that
  * is repeated or takes effect late changes nothing.
  */
 // The small variant of the library: a router that restarts loads this before it serves.
 import * as z from 'zod/mini'
 
-/** What one router holds of one budget. */
 const tokens = z.number().check(z.nonnegative())
+
+/** What one router holds of the budget. */
 const grantSchema = z.readonly(z.object({
   /** Tokens that the router may spend in all since it started. */
   grantedTokens: tokens,
@@ -17,12 +18,12 @@
 export type Grant = z.infer<typeof grantSchema>
 
 export const ledgerSchema = z.readonly(z.object({
-  /** By organisation, then by holder: the id of a router process. */
-  organisations: z.record(z.string(), z.record(z.string(), grantSchema))
+  /** By holder: the id of a router process. */
+  holders: z.record(z.string(), grantSchema)
 }))
 export type Ledger = z.infer<typeof ledgerSchema>
 
-export const emptyLedger: Ledger = { organisations: {} }
+export const emptyLedger: Ledger = { holders: {} }
 
 /** Holder under which the grants of ended processes are summed up; they count as spent. */
 export const closedHolder = 'closed'
@@ -36,11 +37,11 @@
 }
 
 /** Totals of all holders but one. */
-export function othersTotal (ledger: Ledger, organisation: string, holder: string): OtherHolders {
+export function othersTotal (ledger: Ledger, holder: string): OtherHolders {
   let grantedTokens = 0
   let committedTokens = 0
   let lostTokens = 0
-  for (const [id, grant] of Object.entries(ledger.organisations[organisation] ?? {})) {
+  for (const [id, grant] of Object.entries(ledger.holders)) {
     if (id === holder) continue
     grantedTokens += grant.grantedTokens
     committedTokens += grant.committedTokens
@@ -49,42 +50,27 @@
   return { grantedTokens, committedTokens, lostTokens }
 }
 
-/** Number of routers that hold a grant, without those that ended. */
-export function holderCount (ledger: Ledger, organisation: string): number {
-  return Object.keys(ledger.organisations[organisation] ?? {}).filter(id => id !== closedHolder).length
-}
-
-/** All routers that hold a grant, and `own`. */
-export function ledgerHolders (ledger: Ledger, own: string): ReadonlySet<string> {
-  const holders = new Set<string>([own])
-  for (const grants of Object.values(ledger.organisations)) {
-    for (const holder of Object.keys(grants)) holders.add(holder)
-  }
-  holders.delete(closedHolder)
-  return holders
+/** Routers that hold a grant, and `own`; those that ended without a word count until their node comes back. */
+export function routersOf (ledger: Ledger, own: string): number {
+  const holders = Object.keys(ledger.holders).filter(id => id !== closedHolder)
+  return holders.includes(own) ? holders.length : holders.length + 1
 }
 
-/** The ledger with other grants of one holder. */
-export function withGrants (ledger: Ledger, holder: string, grants: ReadonlyMap<string, Grant>): Ledger {
-  const organisations = { ...ledger.organisations }
-  for (const [organisation, grant] of grants) organisations[organisation] = { ...organisations[organisation], [holder]: grant }
-  return { organisations }
+/** The ledger with another grant of one holder. */
+export function withGrant (ledger: Ledger, holder: string, grant: Grant): Ledger {
+  return { holders: { ...ledger.holders, [holder]: grant } }
 }
 
 /** The ledger with the grants of ended holders summed up. Their unspent rest is unknown and counts as spent. */
 export function withClosedHolders (ledger: Ledger, isEnded: (holder: string) => boolean): Ledger {
-  const organisations: Record<string, Record<string, Grant>> = {}
-  for (const [organisation, grants] of Object.entries(ledger.organisations)) {
-    const kept: Record<string, Grant> = {}
-    for (const [holder, grant] of Object.entries(grants)) {
-      const target = isEnded(holder) ? closedHolder : holder
-      const before = kept[target] ?? { grantedTokens: 0, committedTokens: 0 }
-      kept[target] = {
-        grantedTokens: before.grantedTokens + grant.grantedTokens,
-        committedTokens: before.committedTokens + grant.committedTokens
-      }
+  const holders: Record<string, Grant> = {}
+  for (const [holder, grant] of Object.entries(ledger.holders)) {
+    const target = isEnded(holder) ? closedHolder : holder
+    const before = holders[target] ?? { grantedTokens: 0, committedTokens: 0 }
+    holders[target] = {
+      grantedTokens: before.grantedTokens + grant.grantedTokens,
+      committedTokens: before.committedTokens + grant.committedTokens
     }
-    organisations[organisation] = kept
   }
-  return { organisations }
+  return { holders }
 }
--- a/packages/policy/src/shared/ledger/planGrant.ts
+++ b/packages/policy/src/shared/ledger/planGrant.ts
@@ -37,12 +37,16 @@
   return Math.max(0, input.prepaidTokens - input.othersGrantedTokens - input.committedTokens)
 }
 
+export function unassignedShare (input: GrantInput): number {
+  return unassignedTokens(input) / Math.max(1, input.prepaidTokens)
+}
+
 export function isTight (input: GrantInput): boolean {
-  return unassignedTokens(input) < input.prepaidTokens * tightShare
+  return unassignedShare(input) < tightShare
 }
 
-function horizonMs (unassignedShare: number): number {
-  const position = Math.min(1, Math.max(0, (unassignedShare - tightShare) / (ampleShare - tightShare)))
+function horizonMs (share: number): number {
+  const position = Math.min(1, Math.max(0, (share - tightShare) / (ampleShare - tightShare)))
   return shortestHorizonMs + position * (longestHorizonMs - shortestHorizonMs)
 }
 
@@ -51,9 +55,9 @@
   const free = unassignedTokens(input)
   const waiting = input.waitingTokens <= free ? input.waitingTokens : 0
   if (isTight(input)) return input.committedTokens + waiting
-  const unassignedShare = free / input.prepaidTokens
-  const firstTokens = input.prepaidTokens * firstShare * Math.max(0, unassignedShare * 2 - 1)
-  const wanted = Math.max(input.ratePerMs * horizonMs(unassignedShare), firstTokens, waiting)
+  const share = unassignedShare(input)
+  const firstTokens = input.prepaidTokens * firstShare * Math.max(0, share * 2 - 1)
+  const wanted = Math.max(input.ratePerMs * horizonMs(share), firstTokens, waiting)
   const fairShare = Math.max(waiting, free / (input.holders + 1))
   return Math.floor(input.committedTokens + Math.min(wanted, fairShare))
 }
