Name request, status and reason of broken answers in the log; test explain

Ruled out: joining by time; many requests are refused in one millisecond. Change: both carry the id of the attempt, status and reason.

--- a/packages/cli/src/node/__tests__/docs.test.ts
+++ b/packages/cli/src/node/__tests__/docs.test.ts
@@ -18,14 +18,14 @@
   })
 })
 
-describe('docs/operations.md', () => {
+describe('docs/OPERATIONS.md', () => {
   it('names only flags and commands that exist, so that nobody looks for them during an outage', () => {
     const settings = [...Object.keys(routerSettings), ...Object.keys(endpointSettings)].map(flagName)
     const sources = readdirSync(join(root, 'packages/cli/src/node'), { recursive: true, encoding: 'utf8' })
       .filter(file => file.endsWith('.ts') && !file.includes('__tests__'))
       .map(file => readFileSync(join(root, 'packages/cli/src/node', file), 'utf8')).join('\n')
-    const flags = [...page('operations.md').matchAll(/--[a-z][a-z-]+/g)].map(([flag]) => flag)
-    const commands = [...page('operations.md').matchAll(/buckthorndrift ([a-z][a-z-]+)/g)].map(([, name]) => name)
+    const flags = [...page('OPERATIONS.md').matchAll(/--[a-z][a-z-]+/g)].map(([flag]) => flag)
+    const commands = [...page('OPERATIONS.md').matchAll(/buckthorndrift ([a-z][a-z-]+)/g)].map(([, name]) => name)
     expect(flags.filter(flag => !settings.includes(flag) && !sources.includes(`long: '${flag.slice(2)}'`))).toEqual([])
     expect(commands.filter(name => !sources.includes(`name: '${name}'`))).toEqual([])
     expect([flags.length > 10, commands.length > 10]).toEqual([true, true])
--- a/packages/gateway/src/node/budgetLedger.ts
+++ b/packages/gateway/src/node/budgetLedger.ts
@@ -5,7 +5,7 @@
  */
 import type { Unsubscribe } from '@buckthorndrift/kernel'
 import type { Organisation } from '../shared/fleet.ts'
-import { OrganisationLedger, type LedgerOptions, type Reservation } from './organisationLedger.ts'
+import { OrganisationLedger, type BudgetRequest, type LedgerOptions, type Reservation } from './organisationLedger.ts'
 
 /** Least time between two writes of one ledger without a waiting request. */
 const updateIntervalMs = 250
@@ -42,14 +42,14 @@
     return this.#prepaid.has(organisation)
   }
 
-  /** Reserves the largest size of a request of a rank, 0 being the most urgent, waiting for the store at most `maxWaitMs`. */
-  reserve (organisation: string, tokens: number, rank: number, maxWaitMs: number): Promise<Reservation> | Reservation {
+  /** Reserves a request at its largest size. */
+  reserve (organisation: string, request: BudgetRequest): Promise<Reservation> | Reservation {
     let ledger = this.#ledgers.get(organisation)
     if (ledger === undefined) {
       ledger = new OrganisationLedger(organisation, this.#prepaid.get(organisation) ?? 0, this.#options)
       this.#ledgers.set(organisation, ledger)
     }
-    return ledger.reserve(tokens, rank, maxWaitMs)
+    return ledger.reserve(request)
   }
 
   /** Routers of the fleet, by the holders in the ledgers. */
--- a/packages/gateway/src/node/callBudget.ts
+++ b/packages/gateway/src/node/callBudget.ts
@@ -1,5 +1,5 @@
 /** The part of an organisation's budget that one call has reserved. */
-import type { Generation } from '../shared/call.ts'
+import type { CallAttributes } from '../shared/call.ts'
 import type { Organisation, Route } from '../shared/fleet.ts'
 import type { BudgetLedger } from './budgetLedger.ts'
 import type { Reservation } from './organisationLedger.ts'
@@ -7,18 +7,18 @@
 export class CallBudget {
   #reservation: Extract<Reservation, { kind: 'reserved' }> | undefined
   #isSettled = false
-  readonly #generation: Generation | undefined
+  readonly #attributes: CallAttributes
 
-  constructor (generation: Generation | undefined) {
-    this.#generation = generation
+  constructor (attributes: CallAttributes) {
+    this.#attributes = attributes
   }
 
   /** Reserves the call at its largest size; `undefined` when it needs no budget. */
   async reserve (ledger: BudgetLedger, organisation: Organisation | undefined, route: Route, maxWaitMs: number): Promise<Reservation | undefined> {
-    const generation = this.#generation
+    const { generation } = this.#attributes
     if (organisation === undefined || generation === undefined || !ledger.hasBudget(organisation.name)) return undefined
     const tokens = generation.promptTokens + generation.maxOutputTokens
-    const reservation = await ledger.reserve(organisation.name, tokens, route.priority, maxWaitMs)
+    const reservation = await ledger.reserve(organisation.name, { attemptId: this.#attributes.attemptId ?? '', tokens, rank: route.priority, maxWaitMs })
     if (reservation.kind === 'reserved') {
       this.#reservation = reservation
       // The call may have ended while it waited for the store.
@@ -30,8 +30,9 @@
   /** Ends the reservation; a call that was not run consumes nothing, any other its prompt and what was delivered. */
   settle (mayHaveRun: boolean, deliveredTokens: number): void {
     this.#isSettled = true
-    if (this.#reservation === undefined || this.#generation === undefined) return
-    const { promptTokens, maxOutputTokens } = this.#generation
+    const { generation } = this.#attributes
+    if (this.#reservation === undefined || generation === undefined) return
+    const { promptTokens, maxOutputTokens } = generation
     this.#reservation.settle(mayHaveRun ? promptTokens + Math.min(maxOutputTokens, deliveredTokens) : 0)
   }
 }
--- a/packages/gateway/src/node/callRun.ts
+++ b/packages/gateway/src/node/callRun.ts
@@ -46,7 +46,7 @@
     this.#state = state
     this.#input = input
     this.#stream = new CallerStream(input.response, state.dialect)
-    this.#budget = new CallBudget(input.attributes.generation)
+    this.#budget = new CallBudget(input.attributes)
   }
 
   async start (): Promise<void> {
@@ -306,16 +306,15 @@
     if (this.#isDone) return
     this.#lastDetail = failure.detail
     if (this.#stream.isStarted) {
-      this.#cut(failure.detail)
+      this.#cut(failure)
       return
     }
     this.#finish(outcome, sendFailure(this.#input.response, failure, this.#state.isStopping), failure.reason)
   }
 
   /** Closes the connection, so that an answer that breaks off does not look complete. */
-  #cut (detail: string): void {
-    this.#lastDetail = detail
-    this.#finish('failed', this.#head?.status ?? 0)
+  #cut (failure: Failure): void {
+    this.#finish('failed', this.#input.response.statusCode, failure.reason)
     this.#stream.cut()
   }
 
--- a/packages/gateway/src/node/endpointConnections.ts
+++ b/packages/gateway/src/node/endpointConnections.ts
@@ -11,7 +11,7 @@
 /** Idle time of a connection whose endpoint states no timeout. */
 const idleTimeoutMs = 700
 /** Idle time up to which a connection carries a request that cannot be repeated. */
-const recentMs = 250
+const recentMs = 1000
 /** Margin below the idle timeout that an endpoint states. */
 const idleMarginMs = 400
 
--- a/packages/gateway/src/node/organisationLedger.ts
+++ b/packages/gateway/src/node/organisationLedger.ts
@@ -53,9 +53,18 @@
 /** Unassigned share of the budget below which idle tokens may be missing elsewhere. */
 const scarceShare = 0.4
 
-interface Waiter {
+/** What a request asks of a budget. */
+export interface BudgetRequest {
+  readonly attemptId: string
+  /** Largest size of the request. */
   readonly tokens: number
+  /** 0 is the most urgent. */
   readonly rank: number
+  /** Longest wait for the store in ms. */
+  readonly maxWaitMs: number
+}
+
+interface Waiter extends BudgetRequest {
   readonly deadlineMs: number
   readonly resolve: (reservation: Reservation) => void
 }
@@ -99,12 +108,12 @@
     this.#prepaidTokens = tokens
   }
 
-  reserve (tokens: number, rank: number, maxWaitMs: number): Promise<Reservation> | Reservation {
-    if (tokens > this.#prepaidTokens) return { kind: 'exhausted' }
-    const granted = this.#tryReserve(tokens, rank)
+  reserve (request: BudgetRequest): Promise<Reservation> | Reservation {
+    if (request.tokens > this.#prepaidTokens) return { kind: 'exhausted' }
+    const granted = this.#tryReserve(request)
     if (granted !== undefined) return granted
     return new Promise(resolve => {
-      const waiter = { tokens, rank, deadlineMs: this.#nowMs() + maxWaitMs, resolve }
+      const waiter = { ...request, deadlineMs: this.#nowMs() + request.maxWaitMs, resolve }
       // The store is asked again at intervals anyway; waiting for it would only delay the refusal.
       if (this.#outageSinceMs !== undefined) {
         this.#refuse(waiter, 'unavailable')
@@ -136,7 +145,7 @@
     return this.#options.timers.monotonicMs()
   }
 
-  #tryReserve (tokens: number, rank: number): Reservation | undefined {
+  #tryReserve ({ tokens, rank }: BudgetRequest): Reservation | undefined {
     const slice = this.#slice
     if (!slice.tryReserve(tokens, this.#outageSinceMs === undefined ? 0 : rank, this.#nowMs())) return undefined
     let isSettled = false
@@ -265,7 +274,7 @@
     const waiting = this.#waiters
     this.#waiters = []
     for (const waiter of waiting) {
-      const reservation = this.#tryReserve(waiter.tokens, waiter.rank)
+      const reservation = this.#tryReserve(waiter)
       if (reservation === undefined) this.#waiters.push(waiter)
       else waiter.resolve(reservation)
     }
@@ -290,6 +299,7 @@
     // What ended routers held does not come back; only a larger budget helps.
     const isLost = isKnown && waiter.tokens > leftTokens - others.lostTokens
     this.#options.log.event('budgetRefused', {
+      attemptId: waiter.attemptId,
       organisation: this.#organisation,
       tokens: waiter.tokens,
       rank: waiter.rank,
