Probe an outage once for all ledgers; judge refusals in one place

Ruled out: watches (about 3000 calls by their counts) and grants (at most 4952 changes of the store in all). Change: one probe at a time and process during an outage; a ledger of up to 0.4 s is believed when a request does not fit; the first slices are divided by the size of the fleet; watches wait as long as the deployment allows to go unnoticed; the judgement of refusals is code of its own with a test.

--- a/packages/gateway/src/node/budgetLedger.ts
+++ b/packages/gateway/src/node/budgetLedger.ts
@@ -5,6 +5,7 @@
  */
 import type { Unsubscribe } from '@buckthorndrift/kernel'
 import type { Organisation } from '../shared/fleet.ts'
+import { StoreOutage } from '../shared/storeOutage.ts'
 import { OrganisationLedger, type BudgetRequest, type LedgerOptions, type Reservation } from './organisationLedger.ts'
 
 /** Least time between two writes of one ledger without a waiting request. */
@@ -21,8 +22,8 @@
   readonly #ledgers = new Map<string, OrganisationLedger>()
   readonly #stopTicking: Unsubscribe
 
-  constructor (options: LedgerOptions) {
-    this.#options = options
+  constructor (options: Omit<LedgerOptions, 'outage'>) {
+    this.#options = { ...options, outage: new StoreOutage(options.random) }
     this.#stopTicking = options.timers.every(updateIntervalMs, () => {
       for (const ledger of this.#ledgers.values()) ledger.update()
     })
--- a/packages/gateway/src/node/followFleet.ts
+++ b/packages/gateway/src/node/followFleet.ts
@@ -16,7 +16,9 @@
   readonly onConfiguration: (table: RouteTable) => void
 }
 
-const watchWaitMs = 2000
+/** Time to notice a silent connection and to ask again, within the time after which news is expected to be known. */
+const noticeMs = 1000
+const shortestWatchMs = 1000
 /** Changes of endpoints are gathered for this long; well below the time that an endpoint serves after it began to drain. */
 const endpointPauseMs = 300
 const expireCheckMs = 100
@@ -97,6 +99,7 @@
     onContact: (isInContact, detail) => { noteContact('endpoints', isInContact, detail) }
   }
 
+  const watchWaitMs = Math.max(shortestWatchMs, state.deployment.contactMs - noticeMs)
   const followers = [
     new StoreFollower({ kind: 'configuration', store, timers, random, listener: configurationListener, waitMs: watchWaitMs, pauseMs: 0 }),
     new StoreFollower({ kind: 'endpoints', store, timers, random, listener: endpointListener, waitMs: watchWaitMs, pauseMs: endpointPauseMs })
--- a/packages/gateway/src/node/organisationLedger.ts
+++ b/packages/gateway/src/node/organisationLedger.ts
@@ -4,6 +4,7 @@
   BudgetSlice,
   emptyLedger,
   isTight,
+  judgeRefusal,
   ledgerSchema,
   needsUpdate,
   othersTotal,
@@ -16,6 +17,7 @@
   type Ledger
 } from '@buckthorndrift/policy'
 import type { FleetStore, StoredObject, StoreFailure } from '../shared/store.ts'
+import type { StoreOutage } from '../shared/storeOutage.ts'
 
 export type Reservation =
   | { readonly kind: 'reserved', settle (consumedTokens: number): void }
@@ -32,22 +34,20 @@
   readonly holder: string
   readonly nodeName: string
   readonly random: () => number
+  /** Shared by all ledgers of the process. */
+  readonly outage: StoreOutage
 }
 
 /** Rounds of reading and writing before the waiting requests are answered. */
 const maxRounds = 12
 const maxCloseRounds = 4
+/** Failed calls after which the store counts as away and waiting requests are refused. */
+const maxFailures = 2
 /** Pause after another router's write came first; doubled each time. */
 const conflictPauseMs = 3
 const longestConflictPauseMs = 50
-const outagePauseMs = 500
-/** Bounds of the time after which a refused request is worth repeating. */
-const shortestRetryMs = 300
-const longestRetryMs = 4000
-/** Pause before a request is worth repeating when other routers hold the rest of the budget. */
-const heldElsewhereMs = 600
-/** Pause before a request is worth repeating when only a larger budget helps. */
-const topUpMs = 10_000
+/** Age up to which the ledger is believed when a request does not fit into what is free. */
+const freshMs = 400
 /** Age of the ledger after which a router that holds idle tokens looks whether others need them. */
 const staleMs = 6000
 /** Unassigned share of the budget below which idle tokens may be missing elsewhere. */
@@ -81,9 +81,6 @@
   /** Revision that a write without an answer expected; the write may still take effect while the object is at it. */
   #uncertainRevision: number | undefined
   #waiters: Waiter[] = []
-  /** Since when the store has not answered; slices then keep a rest for urgent requests. */
-  #outageSinceMs: number | undefined
-  #nextUpdateMs = 0
   #isUpdating = false
   #isClosing = false
 
@@ -101,7 +98,7 @@
 
   /** Whether the store is away and the slice is nearly spent. */
   get isStarved (): boolean {
-    return this.#outageSinceMs !== undefined && this.#slice.isNearlySpent
+    return this.#isOutage && this.#slice.isNearlySpent
   }
 
   setPrepaid (tokens: number): void {
@@ -115,7 +112,7 @@
     return new Promise(resolve => {
       const waiter = { ...request, deadlineMs: this.#nowMs() + request.maxWaitMs, resolve }
       // The store is asked again at intervals anyway; waiting for it would only delay the refusal.
-      if (this.#outageSinceMs !== undefined) {
+      if (this.#isOutage) {
         this.#refuse(waiter, 'unavailable')
         return
       }
@@ -126,7 +123,7 @@
 
   /** Writes the ledger if the slice needs it; one write at a time. */
   update (): void {
-    if (this.#isClosing || this.#isUpdating || (this.#waiters.length === 0 && this.#nowMs() < this.#nextUpdateMs)) return
+    if (this.#isClosing || this.#isUpdating || !this.#isUpdateDue()) return
     this.#isUpdating = true
     void this.#settle().finally(() => { this.#isUpdating = false })
   }
@@ -147,7 +144,7 @@
 
   #tryReserve ({ tokens, rank }: BudgetRequest): Reservation | undefined {
     const slice = this.#slice
-    if (!slice.tryReserve(tokens, this.#outageSinceMs === undefined ? 0 : rank, this.#nowMs())) return undefined
+    if (!slice.tryReserve(tokens, this.#isOutage ? rank : 0, this.#nowMs())) return undefined
     let isSettled = false
     return {
       kind: 'reserved',
@@ -162,16 +159,18 @@
   async #settle (): Promise<void> {
     let isFresh = false
     let pauseMs = conflictPauseMs
+    let failures = 0
     for (let round = 0; round < maxRounds; round++) {
       this.#serveWaiters()
       const failure = await this.#step(isFresh)
       if (failure === 'settled') break
       isFresh = failure === undefined || failure.kind === 'conflict'
-      this.#outageSinceMs = isFresh ? undefined : this.#outageSinceMs ?? this.#nowMs()
+      if (isFresh) this.#options.outage.noteAnswer()
+      else this.#options.outage.noteFailure(this.#nowMs())
       if (failure === undefined) continue
       if (!isFresh) {
-        this.#nextUpdateMs = this.#nowMs() + outagePauseMs * (1 + this.#options.random())
-        this.#refuseLate(failure)
+        failures++
+        this.#refuseLate(failure, failures >= maxFailures)
         if (this.#waiters.length === 0) return
       }
       await this.#pause(pauseMs * (0.5 + this.#options.random()))
@@ -187,11 +186,28 @@
     const input = this.#input()
     const granted = planGrant(input)
     if (needsUpdate(input) && granted !== this.#slice.grantedTokens) return await this.#write(granted)
-    const isStale = this.#nowMs() - this.#learnedMs > staleMs && unassignedShare(input) < scarceShare && this.#slice.availableTokens > 0
-    if (!isFresh && (this.#waiters.length > 0 || isStale)) return await this.#read()
+    if (!isFresh && this.#mustLook(input)) return await this.#read()
     return 'settled'
   }
 
+  /** Whether other routers may have changed what matters now. */
+  #mustLook (input: GrantInput): boolean {
+    const ageMs = this.#nowMs() - this.#learnedMs
+    if (this.#waiters.length > 0) return ageMs > freshMs
+    return ageMs > staleMs && unassignedShare(input) < scarceShare && this.#slice.availableTokens > 0
+  }
+
+  get #isOutage (): boolean {
+    return this.#options.outage.sinceMs !== undefined
+  }
+
+  /** Whether the store has to be asked, and may be. */
+  #isUpdateDue (): boolean {
+    const input = this.#input()
+    const isNeeded = this.#waiters.length > 0 || this.#revision === undefined || needsUpdate(input) || this.#mustLook(input)
+    return isNeeded && this.#options.outage.mayCall(this.#nowMs())
+  }
+
   #input (): GrantInput {
     const others = othersTotal(this.#ledger, this.#options.holder)
     const free = this.#prepaidTokens - others.grantedTokens - this.#slice.committedTokens
@@ -280,31 +296,36 @@
     }
   }
 
-  #refuseLate (failure: StoreFailure): void {
+  #refuseLate (failure: StoreFailure, refusesAll: boolean): void {
     const nowMs = this.#nowMs()
     const waiting = this.#waiters
     this.#waiters = []
     for (const waiter of waiting) {
-      if (waiter.deadlineMs > nowMs) this.#waiters.push(waiter)
+      if (!refusesAll && waiter.deadlineMs > nowMs) this.#waiters.push(waiter)
       else this.#refuse(waiter, failure.kind)
     }
   }
 
   /** Answers a request whose tokens are not free, by what the ledger says. */
   #refuse (waiter: Waiter, storeFailure: StoreFailure['kind'] | 'none'): void {
-    const others = othersTotal(this.#ledger, this.#options.holder)
-    const leftTokens = this.#prepaidTokens - others.committedTokens - this.#slice.committedTokens
-    const isKnown = storeFailure === 'none' && this.#revision !== undefined
-    const isExhausted = isKnown && waiter.tokens > leftTokens
-    // What ended routers held does not come back; only a larger budget helps.
-    const isLost = isKnown && waiter.tokens > leftTokens - others.lostTokens
-    this.#options.log.event('budgetRefused', {
+    const { random, outage, log, holder } = this.#options
+    const others = othersTotal(this.#ledger, holder)
+    const refusal = judgeRefusal({
+      tokens: waiter.tokens,
+      prepaidTokens: this.#prepaidTokens,
+      committedTokens: this.#slice.committedTokens,
+      others,
+      isLedgerKnown: storeFailure === 'none' && this.#revision !== undefined,
+      outageMs: outage.sinceMs === undefined ? undefined : this.#nowMs() - outage.sinceMs,
+      random
+    })
+    log.event('budgetRefused', {
       attemptId: waiter.attemptId,
       organisation: this.#organisation,
       tokens: waiter.tokens,
       rank: waiter.rank,
       prepaidTokens: this.#prepaidTokens,
-      leftTokens,
+      leftTokens: refusal.leftTokens,
       lostTokens: others.lostTokens,
       othersGrantedTokens: others.grantedTokens,
       othersCommittedTokens: others.committedTokens,
@@ -314,15 +335,9 @@
       ledgerRevision: this.#revision ?? null,
       ledgerAgeMs: Math.round(this.#nowMs() - this.#learnedMs),
       storeFailure,
-      isExhausted
+      isExhausted: refusal.isExhausted
     })
-    waiter.resolve(isExhausted ? { kind: 'exhausted' } : { kind: 'unavailable', retryAfterMs: isLost ? topUpMs : this.#retryAfterMs() })
-  }
-
-  /** An outage is expected to last about as long again as it has lasted. */
-  #retryAfterMs (): number {
-    const outageMs = this.#outageSinceMs === undefined ? heldElsewhereMs : this.#nowMs() - this.#outageSinceMs
-    return Math.min(longestRetryMs, Math.max(shortestRetryMs, outageMs)) * (0.75 + this.#options.random() / 2)
+    waiter.resolve(refusal.isExhausted ? { kind: 'exhausted' } : { kind: 'unavailable', retryAfterMs: refusal.retryAfterMs })
   }
 
   #pause (durationMs: number): Promise<void> {
--- a/packages/gateway/src/shared/deployment.ts
+++ b/packages/gateway/src/shared/deployment.ts
@@ -15,6 +15,8 @@
   /** Address of the metrics, `undefined` when none are served. */
   readonly metrics: Address | undefined
   readonly store: Address
+  /** Time without faults after which this router is expected to know what the store says, in ms. */
+  readonly contactMs: number
   /** Longest time that an endpoint may still get requests after it began to drain, in ms. */
   readonly drainMs: number
   /** Time between SIGTERM and SIGKILL, in ms. */
--- a/packages/policy/src/shared/ledger/__tests__/ledger.test.ts
+++ b/packages/policy/src/shared/ledger/__tests__/ledger.test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, it } from 'vitest'
 import {
-  BudgetSlice, closedHolder, emptyLedger, isTight, needsUpdate, othersTotal, planGrant, routersOf, withClosedHolders, withGrant, type GrantInput
+  BudgetSlice, closedHolder, emptyLedger, isTight, judgeRefusal, needsUpdate, othersTotal, planGrant, routersOf, withClosedHolders, withGrant, type GrantInput
 } from '../index.ts'
 
 const untouched: GrantInput = {
@@ -62,6 +62,35 @@
   })
 })
 
+describe('judgeRefusal', () => {
+  const refused = {
+    tokens: 100,
+    prepaidTokens: 1000,
+    committedTokens: 300,
+    others: { grantedTokens: 700, committedTokens: 400, lostTokens: 0 },
+    isLedgerKnown: true,
+    outageMs: undefined,
+    random: () => 0.5
+  }
+
+  it('calls a budget exhausted only when what all routers have spent leaves too little', () => {
+    expect(judgeRefusal(refused)).toMatchObject({ isExhausted: false, leftTokens: 300 })
+    expect(judgeRefusal({ ...refused, tokens: 301 }).isExhausted).toBe(true)
+    expect(judgeRefusal({ ...refused, tokens: 301, isLedgerKnown: false }).isExhausted).toBe(false)
+  })
+
+  it('sends callers back late when the rest was lost with a router, and early when others may give it back', () => {
+    const lost = judgeRefusal({ ...refused, others: { ...refused.others, lostTokens: 250 } })
+    expect(lost.isExhausted).toBe(false)
+    expect(lost.retryAfterMs).toBeGreaterThan(judgeRefusal(refused).retryAfterMs * 5)
+  })
+
+  it('expects an outage to last as long again', () => {
+    expect(judgeRefusal({ ...refused, outageMs: 3000 }).retryAfterMs).toBe(3000)
+    expect(judgeRefusal({ ...refused, outageMs: 60_000 }).retryAfterMs).toBe(4000)
+  })
+})
+
 describe('BudgetSlice', () => {
   it('never reserves beyond the grant', () => {
     const slice = new BudgetSlice(0)
--- a/packages/policy/src/shared/ledger/planGrant.ts
+++ b/packages/policy/src/shared/ledger/planGrant.ts
@@ -25,8 +25,9 @@
 const tightShare = 0.06
 /** Unassigned share from which the longest horizon is used. */
 const ampleShare = 0.6
-/** Slice of an untouched budget, as a share of it, before the spending rate is known. */
-const firstShare = 0.05
+/** Slices of an untouched budget before spending rates are known: share of it for all routers together, and the least number of routers it is divided by. */
+const firstSharesTotal = 0.2
+const leastRouters = 4
 
 /** A slice is refilled below this share of the planned one, and partly returned above this multiple of it. */
 const refillShare = 0.75
@@ -56,7 +57,7 @@
   const waiting = input.waitingTokens <= free ? input.waitingTokens : 0
   if (isTight(input)) return input.committedTokens + waiting
   const share = unassignedShare(input)
-  const firstTokens = input.prepaidTokens * firstShare * Math.max(0, share * 2 - 1)
+  const firstTokens = input.prepaidTokens * firstSharesTotal / Math.max(leastRouters, input.holders) * Math.max(0, share * 2 - 1)
   const wanted = Math.max(input.ratePerMs * horizonMs(share), firstTokens, waiting)
   const fairShare = Math.max(waiting, free / (input.holders + 1))
   return Math.floor(input.committedTokens + Math.min(wanted, fairShare))
