Refuse requests that crash every endpoint that runs them, at all routers

Ruled out: taking every broken connection for a crash; lost answers reset connections of endpoints that live, and a repeated read would be refused. Change: when a connection breaks, the endpoint is asked whether it still takes connections; contents that ran at confirmed deaths are objects in the store, which every router lists at the price of a stale read; after two deaths the content is refused. Before: the test's request ran at every endpoint. After: at two.

--- a/packages/gateway/src/node/callRun.ts
+++ b/packages/gateway/src/node/callRun.ts
@@ -4,7 +4,7 @@
 import { EventBoundary } from '../shared/eventBoundary.ts'
 import type { Route } from '../shared/fleet.ts'
 import { sendFailure } from './callerAnswer.ts'
-import type { CallInput } from './callInput.ts'
+import { contentOf, type CallInput } from './callInput.ts'
 import { CallBudget } from './callBudget.ts'
 import { CallerStream } from './callerStream.ts'
 import type { EndpointPeer } from './endpointPeers.ts'
@@ -211,6 +211,7 @@
       this.#retry(`the endpoint answered ${status}`)
       return
     }
+    if (!isServerError) this.#state.crashes.noteCompleted(contentOf(this.#input))
     this.#writeHead()
     this.#stream.releaseHeld(undefined)
     this.#finish(status < 400 ? 'finished' : 'failed', status)
@@ -247,7 +248,8 @@
       else this.#fail('endpointLost', failure.detail)
       return
     }
-    this.#state.noteHealth(peer, 'failed')
+    if (failure.kind === 'broken') this.#state.noteBroken(peer, contentOf(this.#input))
+    else this.#state.noteHealth(peer, 'failed')
     if (this.#head === undefined) this.#runs++
     this.#head = undefined
     this.#verdict = mayHaveRun
@@ -277,7 +279,7 @@
 
   #breakOff (detail: string): void {
     this.#exchange?.abort()
-    this.#onFailure({ kind: 'broken', detail })
+    this.#onFailure({ kind: 'unusable', detail })
   }
 
   #onDeadline (): void {
--- a/packages/gateway/src/node/callerServer.ts
+++ b/packages/gateway/src/node/callerServer.ts
@@ -3,6 +3,7 @@
 import { notRun, type Failure, type FailureReason } from '@buckthorndrift/policy'
 import type { CallerLimits, Organisation, Route } from '../shared/fleet.ts'
 import type { RouteTable } from '../shared/routeTable.ts'
+import { contentOf, type CallInput } from './callInput.ts'
 import { CallRun } from './callRun.ts'
 import { sendFailure } from './callerAnswer.ts'
 import type { GatewayState } from './gatewayState.ts'
@@ -96,7 +97,7 @@
     }
     this.#state.quotaOf(service.name).noteRequest(arrivedMs)
     const patienceMs = Math.min(attributes.deadlineMs ?? route.timeoutMs, route.timeoutMs)
-    const run = new CallRun(this.#state, {
+    const input: CallInput = {
       request,
       response,
       attributes,
@@ -107,7 +108,12 @@
       configurationVersion: table.version,
       arrivedMs,
       deadlineAtMs: arrivedMs + patienceMs
-    })
+    }
+    if (this.#state.crashes.isSuspect(contentOf(input))) {
+      this.#answerRefusal(request, response, { verdict: notRun, reason: 'crashSuspect', detail: 'endpoints died whenever they ran this request' })
+      return
+    }
+    const run = new CallRun(this.#state, input)
     await run.start()
   }
 
--- a/packages/gateway/src/node/endpointConnections.ts
+++ b/packages/gateway/src/node/endpointConnections.ts
@@ -8,6 +8,7 @@
 
 /** Connecting takes a few ms; a dropped opening packet is sent again only after a second. */
 const connectTimeoutMs = 500
+const afterBreakMs = 30
 /** Idle time of a connection whose endpoint states no timeout. */
 const idleTimeoutMs = 700
 /** Idle time up to which a connection carries a request that cannot be repeated. */
@@ -35,6 +36,7 @@
   readonly #port: number
   readonly #idle: Slot[] = []
   #open = 0
+  #listening: Promise<boolean> | undefined
 
   constructor (address: string) {
     const colon = address.lastIndexOf(':')
@@ -81,6 +83,28 @@
     else this.#close(slot)
   }
 
+  /** Whether the endpoint takes connections, asked a moment after one of them broke. One question at a time. */
+  async isListening (): Promise<boolean> {
+    this.#listening ??= this.#askListening().finally(() => { this.#listening = undefined })
+    return await this.#listening
+  }
+
+  async #askListening (): Promise<boolean> {
+    // A process that dies closes its connections before its listener.
+    await new Promise(resolve => { setTimeout(resolve, afterBreakMs) })
+    return await new Promise(resolve => {
+      const socket = net.connect({ host: this.#host, port: this.#port, timeout: connectTimeoutMs })
+      const finish = (isListening: boolean): void => {
+        resolve(isListening)
+        socket.destroy()
+      }
+      socket.once('connect', () => { finish(true) })
+      // Without an answer nothing is known; only a refusal tells that nothing listens.
+      socket.once('timeout', () => { finish(true) })
+      socket.once('error', error => { finish((error as NodeJS.ErrnoException).code !== 'ECONNREFUSED') })
+    })
+  }
+
   destroy (): void {
     for (const slot of this.#idle.splice(0)) this.#close(slot)
   }
--- a/packages/gateway/src/node/exchange.ts
+++ b/packages/gateway/src/node/exchange.ts
@@ -26,6 +26,8 @@
   | { readonly kind: 'notConnected', readonly detail: string }
   /** The connection ended or carried something else than this call's answer. */
   | { readonly kind: 'broken', readonly detail: string }
+  /** The connection holds, but no answer to pass on came in time. */
+  | { readonly kind: 'unusable', readonly detail: string }
 
 export interface ExchangeListener {
   onHead (head: AnswerHead): void
--- a/packages/gateway/src/node/followFleet.ts
+++ b/packages/gateway/src/node/followFleet.ts
@@ -65,6 +65,7 @@
     if (change === undefined) return
     const { id, service, address, version } = change.endpoint
     log.event('endpointChanged', { change: change.kind, endpoint: id, service, address, version })
+    if (change.kind === 'replaced' || change.kind === 'removed') state.crashes.noteDeath(change.endpoint)
     if (change.kind === 'removed') state.peers.forget(id)
   }
 
--- a/packages/gateway/src/node/gatewayState.ts
+++ b/packages/gateway/src/node/gatewayState.ts
@@ -10,6 +10,7 @@
 import type { RouteTable } from '../shared/routeTable.ts'
 import type { BudgetLedger } from './budgetLedger.ts'
 import type { CallInput } from './callInput.ts'
+import type { CallContent, CrashWatch } from './crashWatch.ts'
 import { EndpointPeers, type EndpointPeer } from './endpointPeers.ts'
 import type { GatewayMetrics } from './gatewayMetrics.ts'
 
@@ -42,6 +43,7 @@
   readonly log: Log
   readonly metrics: GatewayMetrics
   readonly ledger: BudgetLedger
+  readonly crashes: CrashWatch
   readonly hasher: Hasher
   readonly random: () => number
 }
@@ -61,6 +63,7 @@
   readonly log: Log
   readonly metrics: GatewayMetrics
   readonly ledger: BudgetLedger
+  readonly crashes: CrashWatch
   readonly directory = new EndpointDirectory()
   readonly peers = new EndpointPeers()
   readonly #hasher: Hasher
@@ -77,6 +80,7 @@
     this.log = options.log
     this.metrics = options.metrics
     this.ledger = options.ledger
+    this.crashes = options.crashes
     this.#hasher = options.hasher
     this.#random = options.random
   }
@@ -117,13 +121,26 @@
     if (peer === undefined) return
     const nowMs = this.clock.nowMs()
     const wasAvoided = peer.health.isAvoided(nowMs)
-    if (outcome === 'down') peer.health.noteDown(nowMs)
-    else peer.health.note(outcome === 'failed', nowMs)
+    if (outcome === 'down') {
+      peer.health.noteDown(nowMs)
+      this.crashes.noteDeath(peer.entry)
+    }
+    if (outcome !== 'down') peer.health.note(outcome === 'failed', nowMs)
     if (wasAvoided || !peer.health.isAvoided(nowMs)) return
     const { id, service, address } = peer.entry
     this.log.event('endpointAvoided', { endpoint: id, service, address, outcome, failureShare: Number(peer.health.failureShare(nowMs).toFixed(2)) })
   }
 
+  /** Notes that a connection broke while the endpoint may have been running a request, and finds out whether it died. */
+  noteBroken (peer: EndpointPeer | undefined, content: CallContent): void {
+    if (peer === undefined) return
+    this.noteHealth(peer, 'failed')
+    this.crashes.noteBroken(peer.entry, content)
+    void peer.connections.isListening().then(isListening => {
+      if (!isListening) this.noteHealth(peer, 'down')
+    })
+  }
+
   /** Chooses an endpoint among those not tried yet; `undefined` when there is none. */
   place (input: CallInput, tried: ReadonlySet<string>): Place | undefined {
     const endpoints = this.directory.ready(input.service.name)
--- a/packages/gateway/src/node/startGateway.ts
+++ b/packages/gateway/src/node/startGateway.ts
@@ -11,6 +11,7 @@
 import type { FleetStore } from '../shared/store.ts'
 import { BudgetLedger } from './budgetLedger.ts'
 import { CallerServer } from './callerServer.ts'
+import { CrashWatch } from './crashWatch.ts'
 import { followFleet } from './followFleet.ts'
 import { createGatewayMetrics } from './gatewayMetrics.ts'
 import { GatewayState } from './gatewayState.ts'
@@ -63,7 +64,8 @@
   const clock = new ElapsedClock({ wallMs: () => timers.nowMs(), monotonicMs: () => performance.now() })
   const metrics = createGatewayMetrics()
   const ledger = new BudgetLedger({ store, timers, log, holder: `${deployment.nodeName}.${incarnation}`, nodeName: deployment.nodeName, random })
-  const state = new GatewayState({ deployment, dialect, clock, log, metrics, ledger, hasher: await createHasher(), random })
+  const crashes = new CrashWatch({ store, timers, log })
+  const state = new GatewayState({ deployment, dialect, clock, log, metrics, ledger, crashes, hasher: await createHasher(), random })
   const callers = new CallerServer(state)
   const followers = followFleet({
     state,
@@ -127,6 +129,7 @@
       log.event('gatewayStopping', { openRequests: state.openRequests })
       await requestsFinished(startedMs)
       followers.stop()
+      crashes.stop()
       const timedOut = new Promise<void>(resolve => { setTimeout(resolve, returnLimitMs) })
       await Promise.race([ledger.close(), timedOut])
       log.event('gatewayStopped', { openRequests: state.openRequests })
@@ -134,6 +137,7 @@
     },
     kill () {
       followers.stop()
+      crashes.stop()
       ledger.abandon()
       closeListeners()
     }
--- a/packages/gateway/src/shared/store.ts
+++ b/packages/gateway/src/shared/store.ts
@@ -41,8 +41,8 @@
 export type StoreResult<Value> = Promise<Result<Value, StoreFailure>>
 
 export interface FleetStore {
-  /** Every object of a kind. */
-  list (kind: ObjectKind): StoreResult<ObjectPage>
+  /** Every object of a kind. An answer that may be seconds old costs less. */
+  list (kind: ObjectKind, options?: { readonly mayBeStale?: boolean }): StoreResult<ObjectPage>
   /** Changes after `revision`; waits up to `waitMs` for the first one. */
   watch (kind: ObjectKind, revision: number, waitMs: number): StoreResult<WatchPage>
   read (kind: ObjectKind, name: string): StoreResult<StoredObject>
