--- a/packages/policy/src/shared/ledger/planGrant.ts
+++ b/packages/policy/src/shared/ledger/planGrant.ts
@@ -30,7 +30,7 @@
 const leastRouters = 4
 
 /** A slice is refilled below this share of the planned one, and partly returned above this multiple of it. */
-const refillShare = 0.75
+const refillShare = 0.4
 const returnFactor = 3
 
 /** Tokens that nobody was granted, if this router gave back all that it has not committed. */
