--- /dev/null
+++ b/packages/gateway/src/node/__tests__/lineBuffer.test.ts
@@ -0,0 +1,62 @@
+import { describe, expect, it } from 'vitest'
+import { LineBuffer } from '../decisionLog.ts'
+
+type Done = (error: Error | null, writtenBytes: number) => void
+
+/** A writer that completes only when told to. */
+function stalledWriter (): { readonly blocks: string[], readonly pending: Done[], write (bytes: Buffer, offset: number, done: Done): void } {
+  const blocks: string[] = []
+  const pending: Done[] = []
+  return {
+    blocks,
+    pending,
+    write: (bytes, offset, done) => {
+      blocks.push(bytes.toString('utf8', offset))
+      pending.push(done)
+    }
+  }
+}
+
+describe('LineBuffer', () => {
+  it('keeps a bounded number of bytes while the reader does not read, and counts what it drops', () => {
+    const writer = stalledWriter()
+    const lines = new LineBuffer(writer.write)
+    lines.add('first')
+    lines.flush()
+    for (let index = 0; index < 10_000; index++) lines.add('x'.repeat(100))
+    expect(writer.pending).toHaveLength(1)
+    expect(lines.droppedLines).toBeGreaterThan(7000)
+    expect(lines.takeDropped()).toBeGreaterThan(7000)
+    expect(lines.droppedLines).toBe(0)
+  })
+
+  it('writes whole lines in order once the reader reads again', () => {
+    const writer = stalledWriter()
+    const lines = new LineBuffer(writer.write)
+    lines.add('one')
+    lines.flush()
+    lines.add('two')
+    lines.add('three')
+    writer.pending[0]!(null, 4)
+    expect(writer.blocks).toEqual(['one\n', 'two\nthree\n'])
+  })
+
+  it('goes on after a part of a block was taken', () => {
+    const writer = stalledWriter()
+    const lines = new LineBuffer(writer.write)
+    lines.add('abcdef')
+    lines.flush()
+    writer.pending[0]!(null, 3)
+    expect(writer.blocks).toEqual(['abcdef\n', 'def\n'])
+  })
+
+  it('drops a block that cannot be written, for example to a closed pipe, and goes on', () => {
+    const writer = stalledWriter()
+    const lines = new LineBuffer(writer.write)
+    lines.add('lost')
+    lines.flush()
+    lines.add('next')
+    writer.pending[0]!(new Error('EPIPE'), 0)
+    expect(writer.blocks).toEqual(['lost\n', 'next\n'])
+  })
+})
