Keep the last part of a budget for urgent requests

Ruled out: smaller slices; what is saved at the kill is refused in the outage before it. Reclaiming slices by wall clock; a step of the clock would allow overspending. Change: requests of rank 1 and 2 leave the last 4 and 5 % of a budget to rank 0, whose requests are a tenth of the tokens; those refused for it are told to come back late.

--- a/packages/gateway/src/node/organisationLedger.ts
+++ b/packages/gateway/src/node/organisationLedger.ts
@@ -5,6 +5,7 @@
   emptyLedger,
   isTight,
   judgeRefusal,
+  keptTokens,
   ledgerSchema,
   needsUpdate,
   othersTotal,
@@ -222,11 +223,12 @@
     }
   }
 
-  /** Tokens of the waiting requests, in order of arrival, that fit into what is free. */
+  /** Tokens of the waiting requests, in order of arrival, that fit into what is free for their rank. */
   #waitingTokens (freeTokens: number): number {
     let sum = 0
     for (const waiter of this.#waiters) {
-      if (sum + waiter.tokens <= freeTokens) sum += waiter.tokens
+      const kept = keptTokens(this.#prepaidTokens, waiter.rank)
+      if (sum + waiter.tokens <= freeTokens - kept) sum += waiter.tokens
     }
     return sum
   }
@@ -312,6 +314,7 @@
     const others = othersTotal(this.#ledger, holder)
     const refusal = judgeRefusal({
       tokens: waiter.tokens,
+      rank: waiter.rank,
       prepaidTokens: this.#prepaidTokens,
       committedTokens: this.#slice.committedTokens,
       others,
--- a/packages/policy/src/shared/ledger/__tests__/ledger.test.ts
+++ b/packages/policy/src/shared/ledger/__tests__/ledger.test.ts
@@ -65,6 +65,7 @@
 describe('judgeRefusal', () => {
   const refused = {
     tokens: 100,
+    rank: 0,
     prepaidTokens: 1000,
     committedTokens: 300,
     others: { grantedTokens: 700, committedTokens: 400, lostTokens: 0 },
@@ -85,6 +86,12 @@
     expect(lost.retryAfterMs).toBeGreaterThan(judgeRefusal(refused).retryAfterMs * 5)
   })
 
+  it('sends less urgent requests back late when the last part of the budget is kept for urgent ones', () => {
+    const last = { ...refused, tokens: 20, committedTokens: 550, random: () => 0.5 }
+    expect(judgeRefusal({ ...last, rank: 0 }).retryAfterMs).toBe(600)
+    expect(judgeRefusal({ ...last, rank: 2 })).toMatchObject({ isExhausted: false, retryAfterMs: 10_000 })
+  })
+
   it('expects an outage to last as long again', () => {
     expect(judgeRefusal({ ...refused, outageMs: 3000 }).retryAfterMs).toBe(3000)
     expect(judgeRefusal({ ...refused, outageMs: 60_000 }).retryAfterMs).toBe(4000)
--- a/packages/policy/src/shared/ledger/judgeRefusal.ts
+++ b/packages/policy/src/shared/ledger/judgeRefusal.ts
@@ -1,9 +1,12 @@
 /** Says why a request gets no tokens, and when coming back makes sense. */
 import type { OtherHolders } from './ledgerValue.ts'
+import { keptTokens } from './planGrant.ts'
 
 export interface RefusalInput {
   /** Largest size of the request. */
   readonly tokens: number
+  /** 0 is the most urgent. */
+  readonly rank: number
   readonly prepaidTokens: number
   /** Spent or reserved by this router. */
   readonly committedTokens: number
@@ -35,8 +38,9 @@
 export function judgeRefusal (input: RefusalInput): Refusal {
   const leftTokens = input.prepaidTokens - input.others.committedTokens - input.committedTokens
   const isExhausted = input.isLedgerKnown && input.tokens > leftTokens
-  // What ended routers held does not come back.
-  const isLost = input.isLedgerKnown && input.tokens > leftTokens - input.others.lostTokens
+  // What ended routers held does not come back, and the last part is kept for more urgent requests.
+  const freeTokens = leftTokens - input.others.lostTokens - keptTokens(input.prepaidTokens, input.rank)
+  const isLost = input.isLedgerKnown && input.tokens > freeTokens
   return { leftTokens, isExhausted, retryAfterMs: isLost ? topUpMs : returnMs(input) }
 }
 
--- a/packages/policy/src/shared/ledger/planGrant.ts
+++ b/packages/policy/src/shared/ledger/planGrant.ts
@@ -33,6 +33,14 @@
 const refillShare = 0.4
 const returnFactor = 3
 
+/** Share of a budget that requests of a rank leave to more urgent ones, by rank; urgent requests are mostly small, and many fit into it. */
+const keptBudgetShares: readonly number[] = [0, 0.04, 0.05]
+
+/** Last part of a budget that requests of this rank do not get. */
+export function keptTokens (prepaidTokens: number, rank: number): number {
+  return prepaidTokens * (keptBudgetShares[Math.min(rank, keptBudgetShares.length - 1)] ?? 0)
+}
+
 /** Tokens that nobody was granted, if this router gave back all that it has not committed. */
 export function unassignedTokens (input: GrantInput): number {
   return Math.max(0, input.prepaidTokens - input.othersGrantedTokens - input.committedTokens)
