--- a/packages/gateway/src/node/followFleet.ts
+++ b/packages/gateway/src/node/followFleet.ts
@@ -65,7 +65,8 @@
     if (change === undefined) return
     const { id, service, address, version } = change.endpoint
     log.event('endpointChanged', { change: change.kind, endpoint: id, service, address, version })
-    if (change.kind === 'replaced' || change.kind === 'removed') state.crashes.noteDeath(change.endpoint)
+    // An endpoint that only left did not die of a request that it was running.
+    if (change.kind === 'replaced') state.crashes.noteDeath(change.endpoint)
     if (change.kind === 'removed') state.peers.forget(id)
   }
 
