Count retries and open requests in the metrics

Cause: three declared metrics were never counted; an operator would have read 0. Change: retries are counted, open requests are read when the metrics are; the counter of store calls is gone until something counts it. Before: always 0.

--- a/packages/gateway/src/node/callRun.ts
+++ b/packages/gateway/src/node/callRun.ts
@@ -273,6 +273,7 @@
   }
 
   #retry (detail: string): void {
+    this.#state.metrics.retries.inc({ service: this.#input.service.name })
     this.#state.log.event('requestRetried', { attemptId: this.#input.attributes.attemptId ?? '', detail, tried: [...this.#tried].join(' ') })
     this.#attempt()
   }
--- a/packages/gateway/src/node/gatewayMetrics.ts
+++ b/packages/gateway/src/node/gatewayMetrics.ts
@@ -11,12 +11,12 @@
   readonly retries: Counter<'service'>
   readonly firstByteMs: Histogram<'service'>
   readonly durationMs: Histogram<'service'>
-  readonly storeCalls: Counter<'outcome'>
   readonly configurationVersion: Gauge
   readonly openRequests: Gauge
 }
 
-export function createGatewayMetrics (): GatewayMetrics {
+/** Creates the metrics; `countOpen` tells the requests that are being answered. */
+export function createGatewayMetrics (countOpen: () => number): GatewayMetrics {
   const registry = new Registry()
   const registers = [registry]
   const prefix = 'buckthorndrift_'
@@ -28,8 +28,7 @@
     retries: new Counter({ name: `${prefix}retries_total`, help: 'attempts after the first one of a request', labelNames: ['service'], registers }),
     firstByteMs: new Histogram({ name: `${prefix}first_byte_ms`, help: 'time to the first byte of the answer in ms', labelNames: ['service'], buckets: latencyBucketsMs, registers }),
     durationMs: new Histogram({ name: `${prefix}duration_ms`, help: 'time to the end of the answer in ms', labelNames: ['service'], buckets: latencyBucketsMs, registers }),
-    storeCalls: new Counter({ name: `${prefix}store_calls_total`, help: 'calls to the store by outcome', labelNames: ['outcome'], registers }),
     configurationVersion: new Gauge({ name: `${prefix}configuration_version`, help: 'version of the configuration in force', registers }),
-    openRequests: new Gauge({ name: `${prefix}open_requests`, help: 'requests that are being answered', registers })
+    openRequests: new Gauge({ name: `${prefix}open_requests`, help: 'requests that are being answered', registers, collect () { this.set(countOpen()) } })
   }
 }
--- a/packages/gateway/src/node/startGateway.ts
+++ b/packages/gateway/src/node/startGateway.ts
@@ -62,7 +62,7 @@
   const { deployment, dialect, store, timers, log, random } = options
   const incarnation = randomBytes(6).toString('hex')
   const clock = new ElapsedClock({ wallMs: () => timers.nowMs(), monotonicMs: () => performance.now() })
-  const metrics = createGatewayMetrics()
+  const metrics = createGatewayMetrics(() => state.openRequests)
   const ledger = new BudgetLedger({ store, timers, log, holder: `${deployment.nodeName}.${incarnation}`, nodeName: deployment.nodeName, random })
   const crashes = new CrashWatch({ store, timers, log })
   const state = new GatewayState({ deployment, dialect, clock, log, metrics, ledger, crashes, hasher: await createHasher(), random })
