Send callers elsewhere before a router's link or processor is full

Cause: the routers of the grown sites have links of 7 to 140 Mbit/s and 0.24 to 1.35 cores, and callers are assigned to them by a hash.

Change: OverloadGuard (policy) takes the used share of the link, by the bytes of all connections, and of the processor. From 0.6 the router withdraws its readiness and tells callers to connect anew, for 6 s at least; from 0.76, 0.84 and 0.92 it refuses requests by their rank at once, with 503 and a short time to come back, which another router serves. The rate of the link and the processor share come from the settings. A line is logged when the event loop is late.

--- a/packages/gateway/src/node/callRun.ts
+++ b/packages/gateway/src/node/callRun.ts
@@ -190,7 +190,7 @@
   }
 
   #writeHead (): void {
-    if (this.#head !== undefined) this.#stream.writeHead(this.#head, this.#state.isStopping)
+    if (this.#head !== undefined) this.#stream.writeHead(this.#head, this.#state.closesConnections)
   }
 
   #onEnd (): void {
@@ -312,7 +312,7 @@
       this.#cut(failure)
       return
     }
-    this.#finish(outcome, sendFailure(this.#input.response, failure, this.#state.isStopping), failure.reason)
+    this.#finish(outcome, sendFailure(this.#input.response, failure, this.#state.closesConnections), failure.reason)
   }
 
   /** Closes the connection, so that an answer that breaks off does not look complete. */
--- a/packages/gateway/src/node/callerServer.ts
+++ b/packages/gateway/src/node/callerServer.ts
@@ -41,7 +41,10 @@
       keepAlive: true
     }, (request, response) => { void this.#handle(request, response) })
     this.server.requestTimeout = 0
-    this.server.on('connection', socket => { socket.on('error', () => { socket.destroy() }) })
+    this.server.on('connection', socket => {
+      state.load.track(socket)
+      socket.on('error', () => { socket.destroy() })
+    })
   }
 
   /** Takes the limits of a configuration. */
@@ -95,6 +98,10 @@
       this.#answerRefusal(request, response, { verdict: notRun, reason: 'noEndpoint', detail: 'the route has no service', retryAfterMs: this.#state.retryAfterMs() })
       return
     }
+    if (!this.#state.guard.admits(route.priority)) {
+      this.#answerRefusal(request, response, { verdict: notRun, reason: 'overloaded', detail: 'the VM of this router is near its limits', retryAfterMs: retryElsewhereMs })
+      return
+    }
     this.#state.quotaOf(service.name).noteRequest(arrivedMs)
     const patienceMs = Math.min(attributes.deadlineMs ?? route.timeoutMs, route.timeoutMs)
     const input: CallInput = {
@@ -138,7 +145,7 @@
 
   #answerRefusal (request: IncomingMessage, response: ServerResponse, failure: Failure): void {
     const isBodyUnread = !request.complete
-    const status = sendFailure(response, failure, this.#state.isStopping || isBodyUnread)
+    const status = sendFailure(response, failure, this.#state.closesConnections || isBodyUnread)
     this.#state.metrics.refusals.inc({ reason: failure.reason })
     this.#state.log.event('requestRefused', {
       attemptId: this.#state.dialect.parseCall(request.headers).attemptId ?? '',
--- a/packages/gateway/src/node/endpointConnections.ts
+++ b/packages/gateway/src/node/endpointConnections.ts
@@ -38,7 +38,11 @@
   #open = 0
   #listening: Promise<boolean> | undefined
 
-  constructor (address: string) {
+  readonly #onSocket: (socket: net.Socket) => void
+
+  /** `onSocket` is told of each connection that is opened. */
+  constructor (address: string, onSocket: (socket: net.Socket) => void) {
+    this.#onSocket = onSocket
     const colon = address.lastIndexOf(':')
     this.#host = address.slice(0, colon)
     this.#port = Number(address.slice(colon + 1))
@@ -133,6 +137,7 @@
         wasReset = false
         const opened = net.connect({ host: this.#host, port: this.#port, noDelay: true })
         socket = opened
+        this.#onSocket(opened)
         const timer = setTimeout(() => { opened.destroy(new Error('connecting timed out')) }, connectTimeoutMs)
         const onError = (error: Error): void => {
           clearTimeout(timer)
--- a/packages/gateway/src/node/endpointPeers.ts
+++ b/packages/gateway/src/node/endpointPeers.ts
@@ -1,4 +1,5 @@
 /** What this router knows of each endpoint from its own requests, and the connections to it. */
+import type { Socket } from 'node:net'
 import { EndpointHealth, PrefixHistory, type CallCandidate, type GenerationCandidate, type PrefixPart } from '@buckthorndrift/policy'
 import type { EndpointEntry } from '../shared/fleet.ts'
 import { EndpointConnections } from './endpointConnections.ts'
@@ -22,9 +23,9 @@
   #excessMs = 0
   #excessUpdatedMs: number
 
-  constructor (entry: EndpointEntry, nowMs: number) {
+  constructor (entry: EndpointEntry, nowMs: number, onSocket: (socket: Socket) => void) {
     this.entry = entry
-    this.connections = new EndpointConnections(entry.address)
+    this.connections = new EndpointConnections(entry.address, onSocket)
     this.health = new EndpointHealth(nowMs)
     this.#excessUpdatedMs = nowMs
   }
@@ -73,13 +74,19 @@
 
 export class EndpointPeers {
   readonly #peers = new Map<string, EndpointPeer>()
+  readonly #onSocket: (socket: Socket) => void
+
+  /** `onSocket` is told of each connection to an endpoint. */
+  constructor (onSocket: (socket: Socket) => void) {
+    this.#onSocket = onSocket
+  }
 
   /** The peer of an incarnation; another incarnation or address starts anew. */
   of (entry: EndpointEntry, nowMs: number): EndpointPeer {
     const known = this.#peers.get(entry.id)
     if (known !== undefined && known.entry.address === entry.address && known.entry.startedAtMs === entry.startedAtMs) return known
     known?.connections.destroy()
-    const peer = new EndpointPeer(entry, nowMs)
+    const peer = new EndpointPeer(entry, nowMs, this.#onSocket)
     this.#peers.set(entry.id, peer)
     return peer
   }
--- a/packages/gateway/src/node/gatewayState.ts
+++ b/packages/gateway/src/node/gatewayState.ts
@@ -1,6 +1,6 @@
 /** State that the calls of a gateway share: what it believes of the fleet, and the decisions on top of it. */
 import type { Log } from '@buckthorndrift/kernel'
-import { placeCall, placeGeneration, rankByRendezvous, type FailureReason, type Hasher } from '@buckthorndrift/policy'
+import { placeCall, placeGeneration, rankByRendezvous, type FailureReason, type Hasher, type OverloadGuard } from '@buckthorndrift/policy'
 import type { Deployment } from '../shared/deployment.ts'
 import type { Dialect } from '../shared/dialect.ts'
 import type { ElapsedClock } from '../shared/elapsedClock.ts'
@@ -13,6 +13,7 @@
 import type { CallContent, CrashWatch } from './crashWatch.ts'
 import { EndpointPeers, type EndpointPeer } from './endpointPeers.ts'
 import type { GatewayMetrics } from './gatewayMetrics.ts'
+import type { LoadMeter } from './loadMeter.ts'
 
 export interface Place {
   readonly peer: EndpointPeer
@@ -44,6 +45,8 @@
   readonly metrics: GatewayMetrics
   readonly ledger: BudgetLedger
   readonly crashes: CrashWatch
+  readonly guard: OverloadGuard
+  readonly load: LoadMeter
   readonly hasher: Hasher
   readonly random: () => number
 }
@@ -65,7 +68,9 @@
   readonly ledger: BudgetLedger
   readonly crashes: CrashWatch
   readonly directory = new EndpointDirectory()
-  readonly peers = new EndpointPeers()
+  readonly peers: EndpointPeers
+  readonly guard: OverloadGuard
+  readonly load: LoadMeter
   readonly #hasher: Hasher
   readonly #random: () => number
   readonly #quotas = new Map<string, RetryQuota>()
@@ -81,10 +86,18 @@
     this.metrics = options.metrics
     this.ledger = options.ledger
     this.crashes = options.crashes
+    this.guard = options.guard
+    this.load = options.load
+    this.peers = new EndpointPeers(socket => { this.load.track(socket) })
     this.#hasher = options.hasher
     this.#random = options.random
   }
 
+  /** Whether answers tell callers to connect to another router for their next request. */
+  get closesConnections (): boolean {
+    return this.isStopping || this.guard.isDiverting
+  }
+
   quotaOf (service: string): RetryQuota {
     let quota = this.#quotas.get(service)
     if (quota === undefined) {
--- a/packages/gateway/src/node/startGateway.ts
+++ b/packages/gateway/src/node/startGateway.ts
@@ -4,7 +4,7 @@
 import type { AddressInfo } from 'node:net'
 import { performance } from 'node:perf_hooks'
 import type { Log, TimerService } from '@buckthorndrift/kernel'
-import { createHasher } from '@buckthorndrift/policy'
+import { createHasher, OverloadGuard } from '@buckthorndrift/policy'
 import type { Address, Deployment } from '../shared/deployment.ts'
 import type { Dialect } from '../shared/dialect.ts'
 import { ElapsedClock } from '../shared/elapsedClock.ts'
@@ -15,6 +15,8 @@
 import { followFleet } from './followFleet.ts'
 import { createGatewayMetrics } from './gatewayMetrics.ts'
 import { GatewayState } from './gatewayState.ts'
+import { LoadMeter } from './loadMeter.ts'
+import { LoopDelay } from './loopDelay.ts'
 import { createMetricsServer, createReadinessServer } from './operationsServer.ts'
 
 export interface StartGatewayOptions {
@@ -65,23 +67,30 @@
   const metrics = createGatewayMetrics(() => state.openRequests)
   const ledger = new BudgetLedger({ store, timers, log, holder: `${deployment.nodeName}.${incarnation}`, nodeName: deployment.nodeName, random })
   const crashes = new CrashWatch({ store, timers, log })
-  const state = new GatewayState({ deployment, dialect, clock, log, metrics, ledger, crashes, hasher: await createHasher(), random })
+  const guard = new OverloadGuard()
+  const load = new LoadMeter({ linkMbps: deployment.linkMbps, processorCores: deployment.processorCores, timers, guard })
+  const state = new GatewayState({ deployment, dialect, clock, log, metrics, ledger, crashes, guard, load, hasher: await createHasher(), random })
   const callers = new CallerServer(state)
+  const loopDelay = new LoopDelay({ timers, log, openRequests: () => state.openRequests })
   const followers = followFleet({
     state,
     store,
     timers,
     log,
     random,
-    onConfiguration: table => { callers.configure(table.configuration.limits) }
+    onConfiguration: table => {
+      callers.configure(table.configuration.limits)
+      load.start()
+    }
   })
   let wasReady = false
 
   function isReady (): boolean {
     const isLoaded = followers.isLoaded()
     const isStarved = ledger.isStarved()
-    const now = isLoaded && !state.isStopping && !isStarved
-    if (now !== wasReady) log.event('gatewayReady', { isReady: now, isLoaded, isStopping: state.isStopping, isStarved })
+    const isDiverting = guard.isDiverting
+    const now = isLoaded && !state.isStopping && !isStarved && !isDiverting
+    if (now !== wasReady) log.event('gatewayReady', { isReady: now, isLoaded, isStopping: state.isStopping, isStarved, isDiverting, use: Number(guard.use.toFixed(2)) })
     wasReady = now
     return now
   }
@@ -130,6 +139,8 @@
       await requestsFinished(startedMs)
       followers.stop()
       crashes.stop()
+      loopDelay.stop()
+      load.stop()
       const timedOut = new Promise<void>(resolve => { setTimeout(resolve, returnLimitMs) })
       await Promise.race([ledger.close(), timedOut])
       log.event('gatewayStopped', { openRequests: state.openRequests })
@@ -138,6 +149,8 @@
     kill () {
       followers.stop()
       crashes.stop()
+      loopDelay.stop()
+      load.stop()
       ledger.abandon()
       closeListeners()
     }
--- a/packages/gateway/src/shared/deployment.ts
+++ b/packages/gateway/src/shared/deployment.ts
@@ -28,6 +28,10 @@
   readonly retryWindowMs: number
   /** Share of a service's requests that a version under trial may get. */
   readonly trialShare: number
+  /** Rate of the VM's network link in Mbit/s; `undefined` when it is not known. */
+  readonly linkMbps: number | undefined
+  /** Processor time that the process gets, in cores; `undefined` when it is not known. */
+  readonly processorCores: number | undefined
   readonly memoryMb: number
   readonly fileDescriptors: number
 }
--- a/packages/kernel/src/shared/events/gatewayEvents.ts
+++ b/packages/kernel/src/shared/events/gatewayEvents.ts
@@ -24,5 +24,6 @@
   requestFailed: { number: 1834, level: 'warn', message: 'request failed after it was sent to an endpoint', action: 'The detail names what the endpoint or its connection did.' },
   requestAbandoned: { number: 1835, level: 'info', message: 'caller left before the end of the answer', action: 'none' },
   contentCrashedEndpoint: { number: 1836, level: 'warn', message: 'an endpoint died while it ran a request', action: 'After two deaths requests with this content are refused; look at the log of the endpoint.' },
+  eventLoopDelayed: { number: 1841, level: 'warn', message: 'the process got to its work late', action: 'Look at the load and the processor share of the VM; requests wait unseen for as long as longestMs.' },
   logLinesDropped: { number: 1840, level: 'warn', message: 'log lines were dropped because standard output did not take them', action: 'Read standard output faster, or raise the log level.' }
 } as const satisfies EventDefinitions
--- /dev/null
+++ b/packages/policy/src/shared/overload/__tests__/overload.test.ts
@@ -0,0 +1,114 @@
+import { describe, expect, it } from 'vitest'
+import { OverloadGuard, RateUse } from '../index.ts'
+
+/** A link of 10 Mbit/s. */
+const bytesPerMs = 1250
+
+describe('RateUse', () => {
+  function shareAfter (durationMs: number, perMs: number): number {
+    const use = new RateUse(bytesPerMs, 0, 0)
+    for (let nowMs = 200; nowMs <= durationMs; nowMs += 200) use.note(perMs * nowMs, nowMs)
+    return use.share
+  }
+
+  it('tells the used share', () => {
+    expect(shareAfter(10_000, bytesPerMs / 2)).toBeCloseTo(0.5, 2)
+  })
+
+  it('follows a change within two seconds', () => {
+    expect(shareAfter(2000, bytesPerMs)).toBeGreaterThan(0.9)
+  })
+
+  it('does not take one large body for a full link', () => {
+    const use = new RateUse(bytesPerMs, 0, 0)
+    use.note(72_000, 200)
+    expect(use.share).toBeLessThan(0.1)
+  })
+})
+
+interface Played {
+  readonly served: readonly number[]
+  readonly refused: readonly number[]
+  /** Longest time in ms that bytes waited for the link. */
+  readonly longestQueueMs: number
+}
+
+interface Flow {
+  readonly rank: number
+  readonly perS: number
+  readonly bytes: number
+}
+
+/** Plays requests on a link whose bytes queue when there are too many of them. */
+function play (flows: readonly Flow[], guard: OverloadGuard | undefined, durationMs: number): Played {
+  const stepMs = 50
+  const link = new RateUse(bytesPerMs, 0, 0)
+  const served = [0, 0, 0]
+  const refused = [0, 0, 0]
+  const due = flows.map(() => 0)
+  let offeredBytes = 0
+  let queuedBytes = 0
+  let longestQueueMs = 0
+  for (let nowMs = stepMs; nowMs <= durationMs; nowMs += stepMs) {
+    flows.forEach((flow, index) => {
+      due[index]! += flow.perS * stepMs / 1000
+      for (; due[index]! >= 1; due[index]!--) {
+        if (guard?.admits(flow.rank) === false) {
+          refused[flow.rank]!++
+          continue
+        }
+        served[flow.rank]!++
+        queuedBytes += flow.bytes
+        offeredBytes += flow.bytes
+      }
+    })
+    queuedBytes = Math.max(0, queuedBytes - bytesPerMs * stepMs)
+    longestQueueMs = Math.max(longestQueueMs, queuedBytes / bytesPerMs)
+    link.note(offeredBytes, nowMs)
+    guard?.note(link.share, nowMs)
+  }
+  return { served, refused, longestQueueMs }
+}
+
+describe('OverloadGuard', () => {
+  // A hot organisation at one router of a 10 Mbit/s link: 1.6 times what the link carries.
+  const flows: readonly Flow[] = [
+    { rank: 0, perS: 60, bytes: 5000 },
+    { rank: 1, perS: 25, bytes: 16_000 },
+    { rank: 2, perS: 130, bytes: 10_000 }
+  ]
+
+  it('keeps the queue of a link short that callers would fill, and serves the urgent ones', () => {
+    const without = play(flows, undefined, 20_000)
+    const guarded = play(flows, new OverloadGuard(), 20_000)
+    expect(without.longestQueueMs).toBeGreaterThan(5000)
+    expect(guarded.longestQueueMs).toBeLessThan(500)
+    expect(guarded.refused[0]).toBe(0)
+    expect(guarded.served[1]! / (guarded.served[1]! + guarded.refused[1]!)).toBeGreaterThan(0.9)
+    expect(guarded.served[2]).toBeGreaterThan(0)
+  })
+
+  it('refuses nothing while the link carries everything', () => {
+    const { refused } = play(flows.map(flow => ({ ...flow, perS: flow.perS / 3 })), new OverloadGuard(), 20_000)
+    expect(refused).toEqual([0, 0, 0])
+  })
+
+  it('sends new connections elsewhere before it refuses, and takes them back only when there is room again', () => {
+    const guard = new OverloadGuard()
+    guard.note(0.7, 0)
+    expect([guard.isDiverting, guard.admits(2)]).toEqual([true, true])
+    guard.note(0.5, 10_000)
+    expect(guard.isDiverting).toBe(true)
+    guard.note(0.3, 20_000)
+    expect(guard.isDiverting).toBe(false)
+  })
+
+  it('does not take the callers that filled it back at once', () => {
+    const guard = new OverloadGuard()
+    guard.note(0.9, 0)
+    guard.note(0.1, 1000)
+    expect(guard.isDiverting).toBe(true)
+    guard.note(0.1, 8000)
+    expect(guard.isDiverting).toBe(false)
+  })
+})
--- /dev/null
+++ b/packages/policy/src/shared/overload/index.ts
@@ -0,0 +1,2 @@
+export { OverloadGuard } from './overloadGuard.ts'
+export { RateUse } from './rateUse.ts'
--- a/packages/policy/src/shared/verdict/status.ts
+++ b/packages/policy/src/shared/verdict/status.ts
@@ -25,7 +25,8 @@
     case 'endpointLeaving':
     case 'claimUnavailable':
     case 'recordsFull':
-    case 'draining': return 503
+    case 'draining':
+    case 'overloaded': return 503
     case 'deadlineExceeded': return 504
     default: return assertNever(reason)
   }
--- a/packages/policy/src/shared/verdict/verdict.ts
+++ b/packages/policy/src/shared/verdict/verdict.ts
@@ -40,6 +40,7 @@
   | 'crashSuspect'
   | 'recordsFull'
   | 'draining'
+  | 'overloaded'
   | 'internal'
 
 /** A failure on its way to the caller. */
