Serve and document the metrics of store calls, pauses, load and memory

Cause: calls to the store were the largest price and no metric told how many there were, of which kind, and how they ended; the load of the VM, the pause between events and the wait for a budget were not served.

Change: a metered store counts calls by kind of object, operation and outcome. Gauges for the used share of link and processor, the delay of the event loop, the age of the store's last answer, dropped log lines and memory; histograms for the longest pause of a stream and the wait for tokens. docs/metrics.md has a generated part on the gateway. The test that compares the page with its source moved to the gateway, since it now needs both parts; it is as strict.

--- a/packages/cli/src/node/__tests__/docs.test.ts
+++ b/packages/cli/src/node/__tests__/docs.test.ts
@@ -3,7 +3,7 @@
 import { fileURLToPath } from 'node:url'
 import { describe, expect, it } from 'vitest'
 import { endpointSettings } from '@buckthorndrift/endpoint'
-import { describeEvents, describeMetrics, describeSettings, flagName } from '@buckthorndrift/kernel'
+import { describeEvents, describeSettings, flagName } from '@buckthorndrift/kernel'
 import { routerSettings } from '@buckthorndrift/router'
 
 const root = fileURLToPath(new URL('../../../../../', import.meta.url))
@@ -11,7 +11,6 @@
 
 describe('generated pages (npx tsc -b && node scripts/writeDocs.mjs)', () => {
   it('docs/events.md is fresh', () => { expect(page('events.md')).toBe(describeEvents()) })
-  it('docs/metrics.md is fresh', () => { expect(page('metrics.md')).toBe(describeMetrics()) })
 
   it('docs/settings.md is fresh', () => {
     expect(page('settings.md')).toBe(describeSettings({ 'Router process': routerSettings, 'Endpoint process': endpointSettings }))
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -8,3 +8,4 @@
 export type { FleetStore, ObjectEvent, ObjectKind, ObjectPage, StoredObject, StoreFailure, StoreResult, WatchPage } from './shared/store.ts'
 export { runGateway, type GatewayOptions } from './node/runGateway.ts'
 export { startGateway, type Gateway, type StartGatewayOptions } from './node/startGateway.ts'
+export { metricsPage } from './node/gatewayMetrics.ts'
--- a/packages/gateway/src/node/__tests__/gatewayMetrics.test.ts
+++ b/packages/gateway/src/node/__tests__/gatewayMetrics.test.ts
@@ -1,18 +1,53 @@
+import { readFileSync } from 'node:fs'
+import { describeMetrics } from '@buckthorndrift/kernel'
+import { Err, Ok } from 'ts-results-es'
 import { describe, expect, it } from 'vitest'
-import { createGatewayMetrics } from '../gatewayMetrics.ts'
+import type { FleetStore } from '../../shared/store.ts'
+import { createGatewayMetrics, metricsPage, type GatewayReadings } from '../gatewayMetrics.ts'
+import { meteredStore } from '../meteredStore.ts'
+
+const none = (): number => 0
+const noReadings: GatewayReadings = { openRequests: none, use: none, loopDelayMs: none, storeAgeMs: none, droppedLogLines: none }
 
 describe('createGatewayMetrics', () => {
   it('serves the open requests as they are when the metrics are read', async () => {
     let open = 2
-    const { registry } = createGatewayMetrics(() => open)
+    const { registry } = createGatewayMetrics({ ...noReadings, openRequests: () => open })
     expect(await registry.metrics()).toContain('buckthorndrift_open_requests 2')
     open = 5
     expect(await registry.metrics()).toContain('buckthorndrift_open_requests 5')
   })
 
   it('counts by few labels only', async () => {
-    const metrics = createGatewayMetrics(() => 0)
+    const metrics = createGatewayMetrics(noReadings)
     metrics.retries.inc({ service: 'desk' })
     expect(await metrics.registry.metrics()).toContain('buckthorndrift_retries_total{service="desk"} 1')
   })
+
+  it('are all on the page of metrics, which is fresh', async () => {
+    const page = await metricsPage(describeMetrics())
+    expect(page).toContain('| `buckthorndrift_open_requests` | gauge | requests that are being answered |')
+    expect(readFileSync(new URL('../../../../../docs/metrics.md', import.meta.url), 'utf8')).toBe(page)
+  })
+})
+
+describe('meteredStore', () => {
+  it('counts calls by their outcome, so that a store that refuses shows in the metrics', async () => {
+    const metrics = createGatewayMetrics(noReadings)
+    const object = { name: 'firm', revision: 1, value: {}, status: null }
+    const store: FleetStore = {
+      list: () => Promise.resolve(Ok({ objects: [], revision: 1 })),
+      watch: () => Promise.resolve(Err({ kind: 'compacted' })),
+      read: () => Promise.resolve(Ok(object)),
+      create: () => Promise.resolve(Ok(object)),
+      replace: () => Promise.resolve(Err({ kind: 'conflict', object })),
+      replaceStatus: () => Promise.resolve(Ok(object))
+    }
+    const metered = meteredStore(store, metrics)
+    await metered.replace('budgets', 'firm', {}, 1)
+    await metered.watch('endpoints', 1, 0)
+    const text = await metrics.registry.metrics()
+    expect(text).toContain('buckthorndrift_store_calls_total{kind="budgets",operation="replace",outcome="conflict"} 1')
+    expect(text).toContain('buckthorndrift_store_calls_total{kind="endpoints",operation="watch",outcome="compacted"} 1')
+  })
 })
--- a/packages/gateway/src/node/callRun.ts
+++ b/packages/gateway/src/node/callRun.ts
@@ -39,6 +39,8 @@
   #wasSent = false
   #place: Place | undefined
   #firstByteMs: number | undefined
+  #lastEventMs: number | undefined
+  #longestGapMs = 0
   #isDone = false
   #lastDetail = ''
 
@@ -68,8 +70,9 @@
   }
 
   async #reserveBudget (): Promise<boolean> {
-    const { organisation, route } = this.#input
+    const { organisation, route, arrivedMs } = this.#input
     const reservation = await this.#budget.reserve(this.#state.ledger, organisation, route, Math.min(route.objectiveMs, this.#remainingMs) / 2)
+    if (reservation !== undefined) this.#state.metrics.budgetWaitMs.observe(this.#state.clock.nowMs() - arrivedMs)
     switch (reservation?.kind) {
       case undefined:
       case 'reserved':
@@ -170,7 +173,7 @@
     this.#firstByteMs ??= nowMs
     this.#use?.noteFirstByte(nowMs)
     if (this.#isStream && this.#head.status === 200) {
-      this.#passEvents(chunk)
+      this.#passEvents(chunk, nowMs)
       return
     }
     if (this.#stream.isStarted) {
@@ -182,9 +185,11 @@
     this.#stream.releaseHeld(this.#exchange)
   }
 
-  #passEvents (chunk: Buffer): void {
+  #passEvents (chunk: Buffer, nowMs: number): void {
     const { bytes, count } = this.#boundary.push(chunk)
     if (count === 0) return
+    this.#longestGapMs = Math.max(this.#longestGapMs, nowMs - (this.#lastEventMs ?? nowMs))
+    this.#lastEventMs = nowMs
     this.#writeHead()
     this.#stream.write(bytes, this.#exchange)
   }
@@ -335,6 +340,7 @@
       endpointIds: [...this.#tried],
       runs: this.#runs,
       events: this.#boundary.count,
+      longestGapMs: this.#longestGapMs,
       firstByteMs: this.#firstByteMs === undefined ? undefined : this.#firstByteMs - this.#input.arrivedMs,
       place: this.#place
     })
--- a/packages/gateway/src/node/gatewayMetrics.ts
+++ b/packages/gateway/src/node/gatewayMetrics.ts
@@ -1,7 +1,9 @@
 /** Metrics of the gateway in the usual text exposition format. */
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
 
+const prefix = 'buckthorndrift_'
 const latencyBucketsMs = [5, 10, 25, 50, 100, 200, 400, 800, 1600, 3200, 6400, 15_000]
+const bytesPerMb = 1e6
 
 export interface GatewayMetrics {
   readonly registry: Registry
@@ -10,25 +12,70 @@
   readonly attempts: Counter<'service'>
   readonly retries: Counter<'service'>
   readonly firstByteMs: Histogram<'service'>
+  readonly eventGapMs: Histogram<'service'>
   readonly durationMs: Histogram<'service'>
+  readonly budgetWaitMs: Histogram
+  readonly storeCalls: Counter<'kind' | 'operation' | 'outcome'>
+  readonly storeCallMs: Histogram<'operation'>
   readonly configurationVersion: Gauge
-  readonly openRequests: Gauge
 }
 
-/** Creates the metrics; `countOpen` tells the requests that are being answered. */
-export function createGatewayMetrics (countOpen: () => number): GatewayMetrics {
+/** What is asked when the metrics are read. */
+export interface GatewayReadings {
+  openRequests (): number
+  /** Used share of the scarcest of link and processor. */
+  use (): number
+  loopDelayMs (): number
+  /** Time since the store last answered. */
+  storeAgeMs (): number
+  droppedLogLines (): number
+}
+
+/** Creates the metrics. */
+export function createGatewayMetrics (readings: GatewayReadings): GatewayMetrics {
   const registry = new Registry()
   const registers = [registry]
-  const prefix = 'buckthorndrift_'
+
+  function counter <Label extends string> (name: string, help: string, labelNames: Label[]): Counter<Label> {
+    return new Counter({ name: `${prefix}${name}`, help, labelNames, registers })
+  }
+
+  function histogram <Label extends string> (name: string, help: string, labelNames: Label[]): Histogram<Label> {
+    return new Histogram({ name: `${prefix}${name}`, help, labelNames, buckets: latencyBucketsMs, registers })
+  }
+
+  function reading (name: string, help: string, read: () => number): void {
+    registers[0]!.registerMetric(new Gauge({ name: `${prefix}${name}`, help, registers: [], collect () { this.set(read()) } }))
+  }
+
+  reading('open_requests', 'requests that are being answered', readings.openRequests)
+  reading('resource_use_ratio', 'used share of the network link or the processor, whichever is scarcer', readings.use)
+  reading('event_loop_delay_ms', 'how late the event loop is, in ms', readings.loopDelayMs)
+  reading('store_age_ms', 'time since the store last answered, in ms', readings.storeAgeMs)
+  reading('dropped_log_lines', 'log lines dropped since the last line that said so', readings.droppedLogLines)
+  reading('resident_memory_mb', 'resident memory in MB', () => process.memoryUsage.rss() / bytesPerMb)
   return {
     registry,
-    requests: new Counter({ name: `${prefix}requests_total`, help: 'requests by service and outcome', labelNames: ['service', 'outcome'], registers }),
-    refusals: new Counter({ name: `${prefix}refusals_total`, help: 'refused or failed requests by reason', labelNames: ['reason'], registers }),
-    attempts: new Counter({ name: `${prefix}attempts_total`, help: 'attempts at endpoints', labelNames: ['service'], registers }),
-    retries: new Counter({ name: `${prefix}retries_total`, help: 'attempts after the first one of a request', labelNames: ['service'], registers }),
-    firstByteMs: new Histogram({ name: `${prefix}first_byte_ms`, help: 'time to the first byte of the answer in ms', labelNames: ['service'], buckets: latencyBucketsMs, registers }),
-    durationMs: new Histogram({ name: `${prefix}duration_ms`, help: 'time to the end of the answer in ms', labelNames: ['service'], buckets: latencyBucketsMs, registers }),
-    configurationVersion: new Gauge({ name: `${prefix}configuration_version`, help: 'version of the configuration in force', registers }),
-    openRequests: new Gauge({ name: `${prefix}open_requests`, help: 'requests that are being answered', registers, collect () { this.set(countOpen()) } })
+    requests: counter('requests_total', 'requests by service and outcome', ['service', 'outcome']),
+    refusals: counter('refusals_total', 'refused or failed requests by reason', ['reason']),
+    attempts: counter('attempts_total', 'attempts at endpoints', ['service']),
+    retries: counter('retries_total', 'attempts after the first one of a request', ['service']),
+    firstByteMs: histogram('first_byte_ms', 'time to the first byte of the answer in ms', ['service']),
+    eventGapMs: histogram('event_gap_ms', 'longest pause between the events of a stream in ms', ['service']),
+    durationMs: histogram('duration_ms', 'time to the end of the answer in ms', ['service']),
+    budgetWaitMs: histogram('budget_wait_ms', 'time that a request waited for tokens of its budget in ms', []),
+    storeCalls: counter('store_calls_total', 'calls to the object store by kind of object, operation and outcome', ['kind', 'operation', 'outcome']),
+    storeCallMs: histogram('store_call_ms', 'time to the answer of the object store in ms, without watches', ['operation']),
+    configurationVersion: new Gauge({ name: `${prefix}configuration_version`, help: 'version of the configuration in force', registers })
   }
 }
+
+/** The documentation's page of all metrics, from that of the other programs. */
+export async function metricsPage (otherPrograms: string): Promise<string> {
+  const none = (): number => 0
+  const { registry } = createGatewayMetrics({ openRequests: none, use: none, loopDelayMs: none, storeAgeMs: none, droppedLogLines: none })
+  const metrics = await registry.getMetricsAsJSON()
+  const rows = metrics.map(({ name, type, help }) => `| \`${name}\` | ${String(type)} | ${help} |`).sort()
+  const intro = '## Gateway\n\nServed as text on the metrics address; the label `service` has one value for each service.'
+  return `${[otherPrograms, intro, '', '| name | kind | meaning |', '| --- | --- | --- |', ...rows].join('\n')}\n`
+}
--- a/packages/gateway/src/node/gatewayState.ts
+++ b/packages/gateway/src/node/gatewayState.ts
@@ -32,6 +32,8 @@
   readonly endpointIds: readonly string[]
   readonly runs: number
   readonly events: number
+  /** Longest pause between two events of a stream. */
+  readonly longestGapMs: number
   readonly firstByteMs: number | undefined
   /** The last place of the call; `undefined` when it was not sent. */
   readonly place: Place | undefined
@@ -189,6 +191,7 @@
     this.metrics.requests.inc({ service: service.name, outcome: result.outcome })
     this.metrics.durationMs.observe({ service: service.name }, durationMs)
     if (result.firstByteMs !== undefined) this.metrics.firstByteMs.observe({ service: service.name }, result.firstByteMs)
+    if (result.events > 1) this.metrics.eventGapMs.observe({ service: service.name }, result.longestGapMs)
     if (result.reason !== undefined) this.metrics.refusals.inc({ reason: result.reason })
     const event = ({ finished: 'requestFinished', failed: 'requestFailed', refused: 'requestRefused', abandoned: 'requestAbandoned' } as const)[result.outcome]
     this.log.event(event, {
@@ -203,6 +206,7 @@
       endpoints: result.endpointIds.join(' '),
       runs: result.runs,
       events: result.events,
+      longestGapMs: Math.round(result.longestGapMs),
       firstByteMs: Math.round(result.firstByteMs ?? -1),
       estimateMs: Math.round(result.place?.estimateMs ?? -1),
       uncachedTokens: result.place?.uncachedTokens ?? 0,
--- a/packages/gateway/src/node/runGateway.ts
+++ b/packages/gateway/src/node/runGateway.ts
@@ -42,7 +42,7 @@
     }
   })
   try {
-    gateway = await startGateway({ deployment, dialect, store, timers: new SystemTimers(), log, random: Math.random })
+    gateway = await startGateway({ deployment, dialect, store, timers: new SystemTimers(), log, random: Math.random, droppedLogLines: () => lines.droppedLines })
     if (isStopRequested) await gateway.stop()
   } catch (error) {
     process.stderr.write(`The gateway cannot start: ${error instanceof Error ? error.message : String(error)}\n`)
--- a/packages/gateway/src/node/startGateway.ts
+++ b/packages/gateway/src/node/startGateway.ts
@@ -17,6 +17,7 @@
 import { GatewayState } from './gatewayState.ts'
 import { LoadMeter } from './loadMeter.ts'
 import { LoopDelay } from './loopDelay.ts'
+import { meteredStore } from './meteredStore.ts'
 import { createMetricsServer, createReadinessServer } from './operationsServer.ts'
 
 export interface StartGatewayOptions {
@@ -27,6 +28,8 @@
   readonly log: Log
   /** Uniform in [0, 1). */
   readonly random: () => number
+  /** Log lines that were dropped and not yet reported. */
+  readonly droppedLogLines: () => number
 }
 
 export interface Gateway {
@@ -61,10 +64,17 @@
 
 /** Starts the listeners; the gateway is ready once it has read configuration and endpoints. */
 export async function startGateway (options: StartGatewayOptions): Promise<Gateway> {
-  const { deployment, dialect, store, timers, log, random } = options
+  const { deployment, dialect, timers, log, random } = options
   const incarnation = randomBytes(6).toString('hex')
   const clock = new ElapsedClock({ wallMs: () => timers.nowMs(), monotonicMs: () => performance.now() })
-  const metrics = createGatewayMetrics(() => state.openRequests)
+  const metrics = createGatewayMetrics({
+    openRequests: () => state.openRequests,
+    use: () => guard.use,
+    loopDelayMs: () => loopDelay.delayMs,
+    storeAgeMs: () => store.answerAgeMs(),
+    droppedLogLines: options.droppedLogLines
+  })
+  const store = meteredStore(options.store, metrics)
   const ledger = new BudgetLedger({ store, timers, log, holder: `${deployment.nodeName}.${incarnation}`, nodeName: deployment.nodeName, random })
   const crashes = new CrashWatch({ store, timers, log })
   const guard = new OverloadGuard()
--- a/scripts/writeDocs.mjs
+++ b/scripts/writeDocs.mjs
@@ -2,12 +2,13 @@
 import { writeFileSync } from 'node:fs'
 import { createOpenApi } from '@buckthorndrift/admin'
 import { endpointSettings } from '@buckthorndrift/endpoint'
+import { metricsPage } from '@buckthorndrift/gateway'
 import { describeEvents, describeMetrics, describeSettings } from '@buckthorndrift/kernel'
 import { routerSettings } from '@buckthorndrift/router'
 
 const pages = {
   'events.md': describeEvents(),
-  'metrics.md': describeMetrics(),
+  'metrics.md': await metricsPage(describeMetrics()),
   'settings.md': describeSettings({ 'Router process': routerSettings, 'Endpoint process': endpointSettings }),
   'openapi.json': `${JSON.stringify(createOpenApi(), null, 2)}\n`
 }
