Let routers borrow tokens of a budget from one lender

Ruled out: a watch of the ledgers (each write would wake all routers); fewer and larger slices (lost with a kill); one budget server elected by a lease (a single process without which nothing is served; with a ledger that names a lender no agreement is needed, since each router only lends from its own grant).

Change: the first router that writes a ledger names itself the lender in it. Others send it what they hold, have used and need, in numbered messages with absolute amounts, and it lends from its slice; the ledger is written only by the lender. Planned stops give loans back. Loans of a lender that ended stay valid; they are part of its grant. The slice knows own and borrowed tokens; waiting requests, refusals and the ledger object are parts of their own.

--- /dev/null
+++ b/packages/gateway/src/node/__tests__/loanSafety.test.ts
@@ -0,0 +1,98 @@
+import { Err, Ok } from 'ts-results-es'
+import { describe, expect, it } from 'vitest'
+import { silentLog, SystemTimers } from '@buckthorndrift/kernel'
+import { randomFrom } from '@buckthorndrift/standins'
+import type { FleetStore, StoredObject } from '../../shared/store.ts'
+import { StoreOutage } from '../../shared/storeOutage.ts'
+import type { LoanClient } from '../loanClient.ts'
+import { OrganisationLedger } from '../organisationLedger.ts'
+
+const prepaidTokens = 20_000
+const routers = 4
+const rounds = 150
+const latestDeliveryMs = 30
+
+/** Pauses after a failed message pass faster, so that a short run has many of them. */
+const speedUp = 100
+
+class FastTimers extends SystemTimers {
+  override monotonicMs (): number {
+    return super.monotonicMs() * speedUp
+  }
+}
+
+/** A store with conditional writes, some of which get no answer. */
+function createStore (random: () => number): FleetStore {
+  let object: StoredObject | undefined
+  const lost = <Value>(answer: Value): Value | ReturnType<typeof unavailable> => random() < 0.05 ? unavailable() : answer
+  const unavailable = () => Err({ kind: 'unavailable', mayHaveApplied: true, detail: 'lost' } as const)
+  const write = (value: unknown): StoredObject => { object = { name: 'firm', revision: (object?.revision ?? 0) + 1, value, status: null }; return object }
+  return {
+    list: () => Promise.resolve(Ok({ objects: [], revision: 1 })),
+    watch: () => Promise.resolve(Ok({ events: [], revision: 1 })),
+    read: () => Promise.resolve(object === undefined ? Err({ kind: 'notFound' }) : Ok(object)),
+    create: (_kind, _name, value) => Promise.resolve(object === undefined ? lost(Ok(write(value))) : Err({ kind: 'conflict', object })),
+    replace: (_kind, _name, value, revision) => Promise.resolve(object?.revision === revision ? lost(Ok(write(value))) : Err({ kind: 'conflict', object })),
+    replaceStatus: () => Promise.resolve(Err({ kind: 'notFound' }))
+  }
+}
+
+/** Messages get lost, lose their answer, or arrive after the borrower gave up on them. */
+function createClient (random: () => number, ledgers: ReadonlyMap<string, OrganisationLedger>): LoanClient {
+  return {
+    async ask (address, request) {
+      const ledger = ledgers.get(address)
+      const fate = random()
+      if (ledger === undefined || fate < 0.05) return Err({ kind: 'unreachable', detail: 'the request was lost' })
+      if (fate < 0.15) {
+        setTimeout(() => { void ledger.lend(request) }, random() * latestDeliveryMs)
+        return Err({ kind: 'unreachable', detail: 'the request is late' })
+      }
+      const reply = await ledger.lend(request)
+      return fate < 0.25 ? Err({ kind: 'unreachable', detail: 'the answer was lost' }) : Ok(reply)
+    },
+    close: () => Promise.resolve()
+  }
+}
+
+async function spend (seed: number): Promise<{ readonly spentTokens: number, readonly lentRequests: number }> {
+  const random = randomFrom(seed)
+  const store = createStore(random)
+  const ledgers = new Map<string, OrganisationLedger>()
+  const client = createClient(random, ledgers)
+  const timers = new FastTimers()
+  for (let index = 0; index < routers; index++) {
+    const address = `router-${index}:1`
+    ledgers.set(address, new OrganisationLedger('firm', prepaidTokens, {
+      store, timers, log: silentLog, holder: `router-${index}.1`, nodeName: `router-${index}`, random, outage: new StoreOutage(random), loans: { address, client }
+    }))
+  }
+  const all = [...ledgers.values()]
+  let spentTokens = 0
+  let lentRequests = 0
+  await Promise.all(all.map(async (ledger, router) => {
+    for (let round = 0; round < rounds; round++) {
+      const tokens = 20 + Math.floor(random() * 80)
+      const reservation = await ledger.reserve({ attemptId: `${router}-${round}`, tokens, rank: round % 3, maxWaitMs: 50 })
+      if (round % 20 === 0) ledger.update()
+      await new Promise(resolve => { setTimeout(resolve, random() * 8) })
+      if (reservation.kind !== 'reserved') continue
+      if (router > 0) lentRequests++
+      // Some requests consume less than their largest size.
+      const consumed = random() < 0.5 ? tokens : Math.floor(tokens * random())
+      spentTokens += consumed
+      reservation.settle(consumed)
+    }
+  }))
+  return { spentTokens, lentRequests }
+}
+
+describe('loans between routers', () => {
+  it.each([1, 2, 3, 4, 5, 6, 7, 8])('never let a budget be spent twice, whichever messages are lost or late (seed %i)', async seed => {
+    const { spentTokens, lentRequests } = await spend(seed)
+    expect(spentTokens).toBeLessThanOrEqual(prepaidTokens)
+    // Most of the budget can be spent all the same.
+    expect(spentTokens).toBeGreaterThan(prepaidTokens * 0.5)
+    expect(lentRequests).toBeGreaterThan(0)
+  })
+})
--- a/packages/gateway/src/node/__tests__/organisationLedger.test.ts
+++ b/packages/gateway/src/node/__tests__/organisationLedger.test.ts
@@ -3,7 +3,8 @@
 import { silentLog, SystemTimers } from '@buckthorndrift/kernel'
 import type { FleetStore, StoredObject } from '../../shared/store.ts'
 import { StoreOutage } from '../../shared/storeOutage.ts'
-import { OrganisationLedger, type Reservation } from '../organisationLedger.ts'
+import type { Reservation } from '../budgetRequest.ts'
+import { OrganisationLedger } from '../organisationLedger.ts'
 
 const prepaidTokens = 1000
 
@@ -39,7 +40,7 @@
 
 function ledgerOn (store: FleetStore): OrganisationLedger {
   return new OrganisationLedger('firm', prepaidTokens, {
-    store, timers: new SystemTimers(), log: silentLog, holder: 'me.1', nodeName: 'me', random: () => 0.5, outage: new StoreOutage(() => 0.5)
+    store, timers: new SystemTimers(), log: silentLog, holder: 'me.1', nodeName: 'me', random: () => 0.5, outage: new StoreOutage(() => 0.5), loans: undefined
   })
 }
 
--- a/packages/gateway/src/node/budgetLedger.ts
+++ b/packages/gateway/src/node/budgetLedger.ts
@@ -6,7 +6,10 @@
 import type { Unsubscribe } from '@buckthorndrift/kernel'
 import type { Organisation } from '../shared/fleet.ts'
 import { StoreOutage } from '../shared/storeOutage.ts'
-import { OrganisationLedger, type BudgetRequest, type LedgerOptions, type Reservation } from './organisationLedger.ts'
+import type { LoanReply, LoanRequest } from '../shared/loans.ts'
+import type { BudgetRequest, Reservation } from './budgetRequest.ts'
+import type { LedgerOptions } from './ledgerOptions.ts'
+import { OrganisationLedger } from './organisationLedger.ts'
 
 /** Least time between two writes of one ledger without a waiting request. */
 const updateIntervalMs = 250
@@ -53,6 +56,11 @@
     return ledger.reserve(request)
   }
 
+  /** Lends tokens to another router, if the ledger names this one as the lender. */
+  async lend (request: LoanRequest): Promise<LoanReply> {
+    return await this.#ledgers.get(request.organisation)?.lend(request) ?? { kind: 'notLender' }
+  }
+
   /** Routers of the fleet, by the holders in the ledgers. */
   routerCount (): number {
     let count = 0
--- a/packages/gateway/src/node/callBudget.ts
+++ b/packages/gateway/src/node/callBudget.ts
@@ -2,7 +2,7 @@
 import type { CallAttributes } from '../shared/call.ts'
 import type { Organisation, Route } from '../shared/fleet.ts'
 import type { BudgetLedger } from './budgetLedger.ts'
-import type { Reservation } from './organisationLedger.ts'
+import type { Reservation } from './budgetRequest.ts'
 
 export class CallBudget {
   #reservation: Extract<Reservation, { kind: 'reserved' }> | undefined
--- a/packages/gateway/src/node/organisationLedger.ts
+++ b/packages/gateway/src/node/organisationLedger.ts
@@ -1,9 +1,7 @@
 /** One organisation's budget: this router's slice of it, kept in step with the ledger object in the store. */
-import type { Log, TimerService } from '@buckthorndrift/kernel'
 import {
   BudgetSlice,
   isTight,
-  judgeRefusal,
   keptTokens,
   needsUpdate,
   othersTotal,
@@ -13,30 +11,19 @@
   unassignedTokens,
   withClosedHolders,
   withGrant,
-  type GrantInput
+  withLender,
+  type GrantInput,
+  type LenderEntry
 } from '@buckthorndrift/policy'
-import type { FleetStore, StoreFailure } from '../shared/store.ts'
-import type { StoreOutage } from '../shared/storeOutage.ts'
+import type { StoreFailure } from '../shared/store.ts'
+import type { LoanReply, LoanRequest, LoanVerdict } from '../shared/loans.ts'
+import { Borrowing } from './borrowing.ts'
+import { refuseWaiter } from './budgetRefusal.ts'
+import type { BudgetRequest, Reservation, Waiter } from './budgetRequest.ts'
 import { LedgerObject } from './ledgerObject.ts'
-
-export type Reservation =
-  | { readonly kind: 'reserved', settle (consumedTokens: number): void }
-  /** The budget does not cover the request, by what all routers have published. */
-  | { readonly kind: 'exhausted' }
-  /** Nothing is free now; part of the budget may come back from other routers, or the store does not answer. */
-  | { readonly kind: 'unavailable', readonly retryAfterMs: number }
-
-export interface LedgerOptions {
-  readonly store: FleetStore
-  readonly timers: TimerService
-  readonly log: Log
-  /** `<node>.<incarnation>`, unique for each start of a process. */
-  readonly holder: string
-  readonly nodeName: string
-  readonly random: () => number
-  /** Shared by all ledgers of the process. */
-  readonly outage: StoreOutage
-}
+import type { LedgerOptions } from './ledgerOptions.ts'
+import { Lending } from './lending.ts'
+import { WaitingRequests } from './waitingRequests.ts'
 
 /** Rounds of reading and writing before the waiting requests are answered. */
 const maxRounds = 12
@@ -53,29 +40,15 @@
 /** Unassigned share of the budget below which idle tokens may be missing elsewhere. */
 const scarceShare = 0.4
 
-/** What a request asks of a budget. */
-export interface BudgetRequest {
-  readonly attemptId: string
-  /** Largest size of the request. */
-  readonly tokens: number
-  /** 0 is the most urgent. */
-  readonly rank: number
-  /** Longest wait for the store in ms. */
-  readonly maxWaitMs: number
-}
-
-interface Waiter extends BudgetRequest {
-  readonly deadlineMs: number
-  readonly resolve: (reservation: Reservation) => void
-}
-
 export class OrganisationLedger {
   readonly #organisation: string
   readonly #options: LedgerOptions
   readonly #slice: BudgetSlice
   #prepaidTokens: number
   readonly #object: LedgerObject
-  #waiters: Waiter[] = []
+  readonly #lending: Lending
+  readonly #borrowing: Borrowing | undefined
+  readonly #waiting = new WaitingRequests()
   #isUpdating = false
   #isClosing = false
 
@@ -85,16 +58,25 @@
     this.#options = options
     this.#slice = new BudgetSlice(this.#nowMs())
     this.#object = new LedgerObject({ organisation, store: options.store, timers: options.timers, log: options.log, onLearned: () => { this.#takeGrant() } })
+    this.#lending = new Lending({
+      slice: this.#slice,
+      isLender: () => this.#isLender,
+      reserve: request => this.reserve(request),
+      unassignedShare: () => unassignedShare(this.#input()),
+      nowMs: () => this.#nowMs()
+    })
+    const { loans, holder } = options
+    if (loans !== undefined) this.#borrowing = new Borrowing({ organisation, holder, slice: this.#slice, client: loans.client, nowMs: () => this.#nowMs() })
   }
 
-  /** Routers that hold a part of the budget, this one included. */
+  /** Routers that spend from the budget, this one included. */
   get routerCount (): number {
-    return routersOf(this.#object.ledger, this.#options.holder)
+    return Math.max(routersOf(this.#object.ledger, this.#options.holder), this.#lending.borrowers + 1, this.#borrowing?.routers ?? 1)
   }
 
-  /** Whether the store is away and the slice is nearly spent. */
+  /** Whether the slice is nearly spent and cannot grow, because the store is away. */
   get isStarved (): boolean {
-    return this.#isOutage && this.#slice.isNearlySpent
+    return this.#isOutage && this.#slice.isNearlySpent && this.#lender() === undefined
   }
 
   setPrepaid (tokens: number): void {
@@ -108,11 +90,11 @@
     return new Promise(resolve => {
       const waiter = { ...request, deadlineMs: this.#nowMs() + request.maxWaitMs, resolve }
       // The store is asked again at intervals anyway; waiting for it would only delay the refusal.
-      if (this.#isOutage) {
+      if (this.#isOutage && this.#lender() === undefined) {
         this.#refuse(waiter, 'unavailable')
         return
       }
-      this.#waiters.push(waiter)
+      this.#waiting.add(waiter)
       this.update()
     })
   }
@@ -124,13 +106,22 @@
     void this.#settle().finally(() => { this.#isUpdating = false })
   }
 
-  /** Gives back what was not committed, so that other routers can spend it. */
+  /** Lends tokens to another router. */
+  async lend (request: LoanRequest): Promise<LoanReply> {
+    return await this.#lending.lend(request)
+  }
+
+  /** Gives back what was not committed, so that other routers can spend it, and lends no more. */
   async close (): Promise<void> {
+    const wasLender = this.#isLender
+    const lender = this.#lender()
     this.#isClosing = true
+    if (lender !== undefined) await this.#borrowing?.returnAll(lender)
     for (let round = 0; round < maxCloseRounds; round++) {
       if (this.#object.revision === undefined && await this.#object.read() !== undefined) return
-      const committedTokens = Math.ceil(this.#slice.committedTokens)
-      if (this.#slice.grantedTokens <= committedTokens || await this.#write(committedTokens) === undefined) return
+      const committedTokens = Math.ceil(this.#slice.ownCommittedTokens)
+      const isDone = this.#slice.ownTokens <= committedTokens && !wasLender
+      if (isDone || await this.#write(committedTokens) === undefined) return
     }
   }
 
@@ -138,9 +129,10 @@
     return this.#options.timers.monotonicMs()
   }
 
-  #tryReserve ({ tokens, rank }: BudgetRequest): Reservation | undefined {
+  #tryReserve ({ tokens, rank, isLoan }: BudgetRequest): Reservation | undefined {
     const slice = this.#slice
-    if (!slice.tryReserve(tokens, this.#isOutage ? rank : 0, this.#nowMs())) return undefined
+    if (!this.#leavesKept(tokens, rank)) return undefined
+    if (!slice.tryReserve(tokens, this.#isOutage ? rank : 0, isLoan === true ? undefined : this.#nowMs())) return undefined
     let isSettled = false
     return {
       kind: 'reserved',
@@ -152,6 +144,13 @@
     }
   }
 
+  /** Whether the last part of the budget stays for more urgent requests. A borrower's lender sees to it. */
+  #leavesKept (tokens: number, rank: number): boolean {
+    if (rank === 0 || this.#isOutage || this.#lender() !== undefined) return true
+    const others = othersTotal(this.#object.ledger, this.#options.holder)
+    return this.#prepaidTokens - others.grantedTokens - this.#slice.ownCommittedTokens - tokens >= keptTokens(this.#prepaidTokens, rank)
+  }
+
   async #settle (): Promise<void> {
     const grantedBefore = this.#slice.grantedTokens
     let pauseMs = conflictPauseMs
@@ -159,6 +158,12 @@
     let failures = 0
     for (let round = 0; round < maxRounds; round++) {
       this.#serveWaiters()
+      const lender = this.#lender()
+      if (lender !== undefined) {
+        if (!this.#isLoanDue(lender)) break
+        await this.#borrow(lender)
+        continue
+      }
       const failure = await this.#step()
       if (failure === 'settled') break
       calls++
@@ -168,15 +173,16 @@
       if (failure === undefined) continue
       if (!isAnswered) {
         failures++
-        this.#refuseLate(failure, failures >= maxFailures)
-        if (this.#waiters.length === 0) return
+        const refused = failures >= maxFailures ? this.#waiting.takeAll() : this.#waiting.takeLate(this.#nowMs())
+        for (const waiter of refused) this.#refuse(waiter, failure.kind)
+        if (this.#waiting.length === 0) return
       }
       await this.#pause(pauseMs * (0.5 + this.#options.random()))
       pauseMs = Math.min(longestConflictPauseMs, pauseMs * 2)
     }
     this.#serveWaiters()
     if (this.#slice.grantedTokens !== grantedBefore) this.#logSlice(grantedBefore, calls)
-    for (const waiter of this.#waiters.splice(0)) this.#refuse(waiter, 'none')
+    for (const waiter of this.#waiting.takeAll()) this.#refuse(waiter, 'none')
   }
 
   #logSlice (grantedBeforeTokens: number, calls: number): void {
@@ -197,17 +203,17 @@
     if (this.#object.revision === undefined) return await this.#object.read()
     const input = this.#input()
     const granted = planGrant(input)
-    if (needsUpdate(input) && granted !== this.#slice.grantedTokens) {
+    if (needsUpdate(input) && granted !== this.#slice.ownTokens) {
       // Others have most likely written since, and a conflict costs as much as a write.
       return this.#object.refreshAgeMs > freshMs ? await this.#object.refresh() : await this.#write(granted)
     }
     if (!this.#mustLook(input)) return 'settled'
-    return this.#waiters.length > 0 ? await this.#object.read() : await this.#object.refresh()
+    return this.#waiting.length > 0 ? await this.#object.read() : await this.#object.refresh()
   }
 
   /** Whether other routers may have changed what matters now. */
   #mustLook (input: GrantInput): boolean {
-    if (this.#waiters.length > 0) return this.#object.ageMs > freshMs
+    if (this.#waiting.length > 0) return this.#object.ageMs > freshMs
     return this.#object.refreshAgeMs > staleMs && unassignedShare(input) < scarceShare && this.#slice.availableTokens > 0
   }
 
@@ -215,47 +221,91 @@
     return this.#options.outage.sinceMs !== undefined
   }
 
-  /** Whether the store has to be asked, and may be. */
+  /** Whether the store or the lender has to be asked, and may be. */
   #isUpdateDue (): boolean {
+    const lender = this.#lender()
+    if (lender !== undefined) return this.#isLoanDue(lender)
     const input = this.#input()
-    const isNeeded = this.#waiters.length > 0 || this.#object.revision === undefined || needsUpdate(input) || this.#mustLook(input)
+    const isNeeded = this.#waiting.length > 0 || this.#object.revision === undefined || needsUpdate(input) || this.#mustLook(input)
     return isNeeded && this.#options.outage.mayCall(this.#nowMs())
   }
 
   #input (): GrantInput {
     const others = othersTotal(this.#object.ledger, this.#options.holder)
-    const free = this.#prepaidTokens - others.grantedTokens - this.#slice.committedTokens
+    const committedTokens = this.#slice.ownCommittedTokens
     return {
       prepaidTokens: this.#prepaidTokens,
       othersGrantedTokens: others.grantedTokens,
-      holders: this.routerCount,
-      committedTokens: this.#slice.committedTokens,
-      grantedTokens: this.#slice.grantedTokens,
+      holders: routersOf(this.#object.ledger, this.#options.holder),
+      isLender: this.#isLender,
+      committedTokens,
+      grantedTokens: committedTokens + this.#slice.availableTokens,
       ratePerMs: this.#slice.ratePerMs(this.#nowMs()),
-      waitingTokens: this.#waitingTokens(free)
-    }
-  }
-
-  /** Tokens of the waiting requests, in order of arrival, that fit into what is free for their rank. */
-  #waitingTokens (freeTokens: number): number {
-    let sum = 0
-    for (const waiter of this.#waiters) {
-      const kept = keptTokens(this.#prepaidTokens, waiter.rank)
-      if (sum + waiter.tokens <= freeTokens - kept) sum += waiter.tokens
+      lentRatePerMs: this.#lending.ratePerMs(this.#nowMs()),
+      waitingTokens: this.#waiting.fittingTokens(this.#prepaidTokens - others.grantedTokens - committedTokens, this.#prepaidTokens)
     }
-    return sum
   }
 
+  /** Writes what this router itself is granted. */
   async #write (grantedTokens: number): Promise<StoreFailure | undefined> {
     const { holder } = this.#options
-    const grant = { grantedTokens, committedTokens: this.#slice.committedTokens }
+    const grant = { grantedTokens, committedTokens: this.#publishedTokens }
     // What is given back may not be spent while the write is on its way.
-    if (grantedTokens < this.#slice.grantedTokens) this.#slice.setGranted(grantedTokens)
-    const failure = await this.#object.write(withGrant(withClosedHolders(this.#object.ledger, id => this.#isFormer(id)), holder, grant))
+    if (grantedTokens < this.#slice.ownTokens) this.#slice.setOwn(grantedTokens)
+    const ledger = withClosedHolders(this.#object.ledger, id => this.#isFormer(id))
+    const failure = await this.#object.write(withLender(withGrant(ledger, holder, grant), this.#nextLender(ledger.lender)))
     if (failure === undefined) this.#slice.setFilled(isTight(this.#input()) ? 0 : this.#slice.availableTokens)
     return failure
   }
 
+  get #isLender (): boolean {
+    return !this.#isClosing && this.#object.ledger.lender?.holder === this.#options.holder
+  }
+
+  /** The other router that lends tokens of this budget, if it may be asked. */
+  #lender (): LenderEntry | undefined {
+    const { lender } = this.#object.ledger
+    if (lender === undefined || this.#borrowing === undefined || lender.holder === this.#options.holder || this.#isClosing) return undefined
+    return this.#borrowing.mayAsk(lender) ? lender : undefined
+  }
+
+  /** The lender after the next write: this router, when there is none or it is lost. */
+  #nextLender (present: LenderEntry | undefined): LenderEntry | undefined {
+    const { loans, holder } = this.#options
+    if (present !== undefined && present.holder !== holder && this.#borrowing?.isLost(present) !== true) return present
+    return loans === undefined || this.#isClosing ? undefined : { holder, address: loans.address }
+  }
+
+  #isLoanDue (lender: LenderEntry): boolean {
+    return this.#waiting.length > 0 || this.#borrowing?.isDue(lender) === true
+  }
+
+  /** Borrows for the waiting requests. */
+  async #borrow (lender: LenderEntry): Promise<void> {
+    const asked = this.#waiting.takeAll()
+    const reply = await this.#borrowing!.ask(lender, asked)
+    if (reply.kind === 'lent') {
+      asked.forEach((waiter, index) => { this.#answerAsked(waiter, reply.verdicts[index]) })
+      return
+    }
+    this.#waiting.putBack(asked)
+    // Another router may have taken the lender's place.
+    if (reply.kind === 'notLender') await this.#object.read()
+  }
+
+  #answerAsked (waiter: Waiter, verdict: LoanVerdict | undefined): void {
+    // The lender kept to the ranks already.
+    const reservation = verdict?.kind === 'reserved' ? this.#tryReserve({ ...waiter, rank: 0 }) : undefined
+    if (reservation !== undefined) waiter.resolve(reservation)
+    else if (verdict === undefined || verdict.kind === 'reserved') this.#waiting.add(waiter)
+    else waiter.resolve(verdict)
+  }
+
+  /** Own tokens that are certainly used; those that are lent and idle are not. */
+  get #publishedTokens (): number {
+    return Math.max(0, this.#slice.ownCommittedTokens - this.#lending.idleTokens)
+  }
+
   /** Whether a holder is an earlier process of this node. */
   #isFormer (holder: string): boolean {
     return holder.startsWith(`${this.#options.nodeName}.`) && holder !== this.#options.holder
@@ -264,62 +314,29 @@
   #takeGrant (): void {
     const granted = this.#object.ledger.holders[this.#options.holder]?.grantedTokens ?? 0
     // While a write that gives tokens back may still take effect, only the smaller grant is safe.
-    this.#slice.setGranted(this.#object.isUncertain ? Math.min(this.#slice.grantedTokens, granted) : granted)
+    this.#slice.setOwn(this.#object.isUncertain ? Math.min(this.#slice.ownTokens, granted) : granted)
   }
 
   #serveWaiters (): void {
-    const waiting = this.#waiters
-    this.#waiters = []
-    for (const waiter of waiting) {
-      const reservation = this.#tryReserve(waiter)
-      if (reservation === undefined) this.#waiters.push(waiter)
-      else waiter.resolve(reservation)
-    }
-  }
-
-  #refuseLate (failure: StoreFailure, refusesAll: boolean): void {
-    const nowMs = this.#nowMs()
-    const waiting = this.#waiters
-    this.#waiters = []
-    for (const waiter of waiting) {
-      if (!refusesAll && waiter.deadlineMs > nowMs) this.#waiters.push(waiter)
-      else this.#refuse(waiter, failure.kind)
-    }
+    this.#waiting.serve(request => this.#tryReserve(request))
   }
 
   /** Answers a request whose tokens are not free, by what the ledger says. */
   #refuse (waiter: Waiter, storeFailure: StoreFailure['kind'] | 'none'): void {
     const { random, outage, log, holder } = this.#options
-    const others = othersTotal(this.#object.ledger, holder)
-    const refusal = judgeRefusal({
-      tokens: waiter.tokens,
-      rank: waiter.rank,
-      prepaidTokens: this.#prepaidTokens,
-      committedTokens: this.#slice.committedTokens,
-      others,
-      isLedgerKnown: storeFailure === 'none' && this.#object.revision !== undefined,
-      outageMs: outage.sinceMs === undefined ? undefined : this.#nowMs() - outage.sinceMs,
-      random
-    })
-    log.event('budgetRefused', {
-      attemptId: waiter.attemptId,
+    refuseWaiter(waiter, {
+      log,
       organisation: this.#organisation,
-      tokens: waiter.tokens,
-      rank: waiter.rank,
       prepaidTokens: this.#prepaidTokens,
-      leftTokens: refusal.leftTokens,
-      lostTokens: others.lostTokens,
-      othersGrantedTokens: others.grantedTokens,
-      othersCommittedTokens: others.committedTokens,
-      grantedTokens: this.#slice.grantedTokens,
-      committedTokens: this.#slice.committedTokens,
-      tokensPerS: Math.round(this.#slice.ratePerMs(this.#nowMs()) * 1000),
-      ledgerRevision: this.#object.revision ?? null,
-      ledgerAgeMs: Math.round(this.#object.ageMs),
+      committedTokens: this.#publishedTokens,
+      others: othersTotal(this.#object.ledger, holder),
+      slice: this.#slice,
+      object: this.#object,
+      outageMs: outage.sinceMs === undefined ? undefined : this.#nowMs() - outage.sinceMs,
       storeFailure,
-      isExhausted: refusal.isExhausted
+      nowMs: this.#nowMs(),
+      random
     })
-    waiter.resolve(refusal.isExhausted ? { kind: 'exhausted' } : { kind: 'unavailable', retryAfterMs: refusal.retryAfterMs })
   }
 
   #pause (durationMs: number): Promise<void> {
--- a/packages/gateway/src/node/startGateway.ts
+++ b/packages/gateway/src/node/startGateway.ts
@@ -16,6 +16,8 @@
 import { createGatewayMetrics } from './gatewayMetrics.ts'
 import { GatewayState } from './gatewayState.ts'
 import { LoadMeter } from './loadMeter.ts'
+import { createLoanClient } from './loanClient.ts'
+import { createLoanServer } from './loanServer.ts'
 import { LoopDelay } from './loopDelay.ts'
 import { meteredStore } from './meteredStore.ts'
 import { createMetricsServer, createReadinessServer } from './operationsServer.ts'
@@ -75,7 +77,11 @@
     droppedLogLines: options.droppedLogLines
   })
   const store = meteredStore(options.store, metrics)
-  const ledger = new BudgetLedger({ store, timers, log, holder: `${deployment.nodeName}.${incarnation}`, nodeName: deployment.nodeName, random })
+  const loanServer = createLoanServer(request => ledger.lend(request))
+  const loanClient = createLoanClient()
+  const { peers } = deployment
+  const loans = peers === undefined ? undefined : { address: `${peers.host}:${await listen(loanServer, peers)}`, client: loanClient }
+  const ledger = new BudgetLedger({ store, timers, log, holder: `${deployment.nodeName}.${incarnation}`, nodeName: deployment.nodeName, random, loans })
   const crashes = new CrashWatch({ store, timers, log })
   const guard = new OverloadGuard()
   const load = new LoadMeter({ linkMbps: deployment.linkMbps, processorCores: deployment.processorCores, timers, guard })
@@ -105,7 +111,7 @@
     return now
   }
 
-  const servers = [callers.server, createReadinessServer(dialect.readyPath, isReady)]
+  const servers = [callers.server, createReadinessServer(dialect.readyPath, isReady), loanServer]
   const callersPort = await listen(servers[0]!, deployment.callers)
   const readinessPort = await listen(servers[1]!, deployment.readiness)
   if (deployment.metrics !== undefined) {
@@ -116,6 +122,7 @@
   log.event('gatewayStarted', { incarnation, failureDomain: deployment.failureDomain, memoryMb: deployment.memoryMb, graceMs: deployment.graceMs })
 
   function closeListeners (): void {
+    void loanClient.close()
     for (const server of servers) {
       server.close()
       server.closeAllConnections()
--- a/packages/gateway/src/shared/deployment.ts
+++ b/packages/gateway/src/shared/deployment.ts
@@ -14,6 +14,8 @@
   readonly readiness: Address
   /** Address of the metrics, `undefined` when none are served. */
   readonly metrics: Address | undefined
+  /** Address for the other routers; `undefined` when they do not share budgets directly. */
+  readonly peers: Address | undefined
   readonly store: Address
   /** Time without faults after which this router is expected to know what the store says, in ms. */
   readonly contactMs: number
--- a/packages/policy/src/shared/ledger/__tests__/ledger.test.ts
+++ b/packages/policy/src/shared/ledger/__tests__/ledger.test.ts
@@ -7,9 +7,11 @@
   prepaidTokens: 1_000_000,
   othersGrantedTokens: 0,
   holders: 3,
+  isLender: false,
   committedTokens: 0,
   grantedTokens: 0,
   ratePerMs: 0,
+  lentRatePerMs: 0,
   waitingTokens: 0
 }
 
@@ -101,14 +103,14 @@
 describe('BudgetSlice', () => {
   it('never reserves beyond the grant', () => {
     const slice = new BudgetSlice(0)
-    slice.setGranted(100)
+    slice.setOwn(100)
     expect(slice.tryReserve(60, 0, 0)).toBe(true)
     expect(slice.tryReserve(60, 0, 0)).toBe(false)
   })
 
   it('frees what a request did not consume', () => {
     const slice = new BudgetSlice(0)
-    slice.setGranted(100)
+    slice.setOwn(100)
     slice.tryReserve(100, 0, 0)
     slice.settle(100, 30)
     expect(slice.availableTokens).toBe(70)
@@ -116,7 +118,7 @@
 
   it('keeps the rest of a slice that cannot be refilled for urgent requests', () => {
     const slice = new BudgetSlice(0)
-    slice.setGranted(1000)
+    slice.setOwn(1000)
     slice.setFilled(1000)
     expect(slice.tryReserve(900, 2, 0)).toBe(false)
     expect(slice.tryReserve(900, 1, 0)).toBe(true)
--- a/packages/policy/src/shared/ledger/budgetSlice.ts
+++ b/packages/policy/src/shared/ledger/budgetSlice.ts
@@ -13,7 +13,10 @@
 const nearlySpentShare = 0.2
 
 export class BudgetSlice {
-  #grantedTokens = 0
+  /** Granted to this router by the ledger. */
+  #ownTokens = 0
+  /** Borrowed from other routers. */
+  #borrowedTokens = 0
   #spentTokens = 0
   #reservedTokens = 0
   /** Size of the slice when it was last filled. */
@@ -26,7 +29,16 @@
   }
 
   get grantedTokens (): number {
-    return this.#grantedTokens
+    return this.#ownTokens + this.#borrowedTokens
+  }
+
+  get ownTokens (): number {
+    return this.#ownTokens
+  }
+
+  /** Tokens spent or reserved of the own ones; borrowed ones are used up first. */
+  get ownCommittedTokens (): number {
+    return Math.max(0, this.committedTokens - this.#borrowedTokens)
   }
 
   /** Tokens spent or reserved; the grant never falls below it. */
@@ -35,7 +47,7 @@
   }
 
   get availableTokens (): number {
-    return this.#grantedTokens - this.committedTokens
+    return this.grantedTokens - this.committedTokens
   }
 
   /** Whether little is left of what the slice held when it was last filled. */
@@ -43,9 +55,13 @@
     return this.availableTokens <= this.#filledTokens * nearlySpentShare
   }
 
-  /** Takes over what the store has confirmed. */
-  setGranted (tokens: number): void {
-    this.#grantedTokens = tokens
+  /** Takes over what the ledger grants. */
+  setOwn (tokens: number): void {
+    this.#ownTokens = tokens
+  }
+
+  setBorrowed (tokens: number): void {
+    this.#borrowedTokens = tokens
   }
 
   /** Notes that the slice was filled for the coming seconds; 0 when tokens are granted for each request. */
@@ -53,12 +69,23 @@
     this.#filledTokens = tokens
   }
 
-  /** Reserves the largest size of a request; false when the slice does not cover it, or keeps the rest for more urgent ones. Rank 0 is the most urgent. */
-  tryReserve (tokens: number, rank: number, nowMs: number): boolean {
+  /**
+   * Reserves the largest size of a request; false when the slice does not cover
+   * it, or keeps the rest for more urgent ones. Rank 0 is the most urgent. Without
+   * a time the request does not count as spending of this router.
+   */
+  tryReserve (tokens: number, rank: number, nowMs: number | undefined): boolean {
     const keptShare = keptShares[Math.min(rank, keptShares.length - 1)] ?? 0
     if (tokens > this.availableTokens - keptShare * this.#filledTokens) return false
     this.#reservedTokens += tokens
-    this.#noteRate(tokens, nowMs)
+    if (nowMs !== undefined) this.#noteRate(tokens, nowMs)
+    return true
+  }
+
+  /** Sets tokens aside for another router, whose spending is not this router's. */
+  tryLend (tokens: number): boolean {
+    if (tokens > this.availableTokens) return false
+    this.#reservedTokens += tokens
     return true
   }
 
--- a/packages/policy/src/shared/ledger/ledgerValue.ts
+++ b/packages/policy/src/shared/ledger/ledgerValue.ts
@@ -17,9 +17,19 @@
 }))
 export type Grant = z.infer<typeof grantSchema>
 
+const lenderSchema = z.readonly(z.object({
+  /** Its holder id. */
+  holder: z.string(),
+  /** `HOST:PORT` where other routers borrow from it. */
+  address: z.string()
+}))
+/** The router that lends to the others, so that they need not write the ledger. */
+export type LenderEntry = z.infer<typeof lenderSchema>
+
 export const ledgerSchema = z.readonly(z.object({
   /** By holder: the id of a router process. */
-  holders: z.record(z.string(), grantSchema)
+  holders: z.record(z.string(), grantSchema),
+  lender: z.optional(lenderSchema)
 }))
 export type Ledger = z.infer<typeof ledgerSchema>
 
@@ -58,7 +68,7 @@
 
 /** The ledger with another grant of one holder. */
 export function withGrant (ledger: Ledger, holder: string, grant: Grant): Ledger {
-  return { holders: { ...ledger.holders, [holder]: grant } }
+  return { ...ledger, holders: { ...ledger.holders, [holder]: grant } }
 }
 
 /** The ledger with the grants of ended holders summed up. Their unspent rest is unknown and counts as spent. */
@@ -72,5 +82,11 @@
       committedTokens: before.committedTokens + grant.committedTokens
     }
   }
-  return { holders }
+  const { lender } = ledger
+  return lender === undefined || isEnded(lender.holder) ? { holders } : { holders, lender }
+}
+
+/** The ledger with another lender, or none. */
+export function withLender ({ holders }: Ledger, lender: LenderEntry | undefined): Ledger {
+  return lender === undefined ? { holders } : { holders, lender }
 }
--- a/packages/policy/src/shared/ledger/planGrant.ts
+++ b/packages/policy/src/shared/ledger/planGrant.ts
@@ -6,9 +6,13 @@
   readonly othersGrantedTokens: number
   /** Routers that hold a part, this one included. */
   readonly holders: number
+  /** Whether other routers borrow from this one instead of holding a part. */
+  readonly isLender: boolean
   readonly committedTokens: number
   readonly grantedTokens: number
   readonly ratePerMs: number
+  /** Rate at which other routers spend what they borrow. */
+  readonly lentRatePerMs: number
   /** Largest request that waits for tokens, 0 for none. */
   readonly waitingTokens: number
 }
@@ -20,9 +24,13 @@
  * budget slices shrink.
  */
 const longestHorizonMs = 14_000
+/** Time of its borrowers' spending that a lender holds at most; they hold some themselves. */
+const lentHorizonMs = 1500
 const shortestHorizonMs = 400
 /** Unassigned share of the budget below which nothing is held in advance. */
 const tightShare = 0.06
+/** The same for a lender, whose slice others do not miss. */
+const lenderTightShare = 0.01
 /** Unassigned share from which the longest horizon is used. */
 const ampleShare = 0.6
 /** Slices of an untouched budget before spending rates are known: share of it for all routers together, and the least number of routers it is divided by. */
@@ -51,10 +59,11 @@
 }
 
 export function isTight (input: GrantInput): boolean {
-  return unassignedShare(input) < tightShare
+  return unassignedShare(input) < (input.isLender ? lenderTightShare : tightShare)
 }
 
-function horizonMs (share: number): number {
+/** Time of spending that a router holds, by the unassigned share of the budget. */
+export function horizonMs (share: number): number {
   const position = Math.min(1, Math.max(0, (share - tightShare) / (ampleShare - tightShare)))
   return shortestHorizonMs + position * (longestHorizonMs - shortestHorizonMs)
 }
@@ -65,8 +74,9 @@
   const waiting = input.waitingTokens <= free ? input.waitingTokens : 0
   if (isTight(input)) return input.committedTokens + waiting
   const share = unassignedShare(input)
+  const horizon = horizonMs(share)
   const firstTokens = input.prepaidTokens * firstSharesTotal / Math.max(leastRouters, input.holders) * Math.max(0, share * 2 - 1)
-  const wanted = Math.max(input.ratePerMs * horizonMs(share), firstTokens, waiting)
+  const wanted = Math.max(input.ratePerMs * horizon + input.lentRatePerMs * Math.min(horizon, lentHorizonMs), firstTokens, waiting)
   const fairShare = Math.max(waiting, free / (input.holders + 1))
   return Math.floor(input.committedTokens + Math.min(wanted, fairShare))
 }
@@ -76,6 +86,6 @@
   const available = input.grantedTokens - input.committedTokens
   if (input.waitingTokens > available) return true
   const planned = planGrant(input) - input.committedTokens
-  if (isTight(input)) return available > 0
+  if (isTight(input)) return available > 0 && !input.isLender
   return available < planned * refillShare || available > planned * returnFactor
 }
