Pool a budget at its lender, and learn of lenders before they are needed

Change: borrowers hold 2.5 s of spending. The lender counts what its borrowers report as spent, so that its slice follows the spending of all; a moving rate is corrected for the time before its start. Routers list the ledgers every 3 s with an answer that may be old until they know each lender. A borrower gives its own grant back. Own tokens are used before borrowed ones.

--- a/packages/gateway/src/node/borrowing.ts
+++ b/packages/gateway/src/node/borrowing.ts
@@ -15,6 +15,8 @@
   readonly organisation: string
   /** Holder id of this router. */
   readonly holder: string
+  /** Where other routers borrow from this one. */
+  readonly address: string
   readonly slice: BudgetSlice
   readonly client: LoanClient
   nowMs (): number
@@ -64,6 +66,13 @@
     return failing.isGone || this.#options.nowMs() - failing.sinceMs >= replaceAfterMs
   }
 
+  /** The lender after the next write of the ledger: this router when there is none or it is lost, unless it stops. */
+  nextLender (present: LenderEntry | undefined, isStopping: boolean): LenderEntry | undefined {
+    const { holder, address } = this.#options
+    if (present !== undefined && present.holder !== holder && !this.isLost(present)) return present
+    return isStopping ? undefined : { holder, address }
+  }
+
   /** Whether the loan should change although no request waits. */
   isDue (lender: LenderEntry): boolean {
     if (this.#options.nowMs() - this.#askedMs < askIntervalMs) return false
@@ -81,7 +90,7 @@
       borrower: holder,
       sequence: ++this.#sequence,
       grantedTokens: this.#loanFrom(lender),
-      committedTokens: Math.min(this.#loanFrom(lender), slice.committedTokens),
+      committedTokens: Math.min(this.#loanFrom(lender), slice.committedTokens - slice.ownCommittedTokens),
       ratePerMs: slice.ratePerMs(nowMs()),
       requests: waiters.map(({ attemptId, tokens, rank }) => ({ attemptId, tokens, rank })),
       maxWaitMs: waiters.reduce((longest, { maxWaitMs }) => Math.max(longest, maxWaitMs), 0)
--- a/packages/gateway/src/node/budgetLedger.ts
+++ b/packages/gateway/src/node/budgetLedger.ts
@@ -4,6 +4,7 @@
  * last part of a budget for each request.
  */
 import type { Unsubscribe } from '@buckthorndrift/kernel'
+import { ledgerSchema } from '@buckthorndrift/policy'
 import type { Organisation } from '../shared/fleet.ts'
 import { StoreOutage } from '../shared/storeOutage.ts'
 import type { LoanReply, LoanRequest } from '../shared/loans.ts'
@@ -13,6 +14,8 @@
 
 /** Least time between two writes of one ledger without a waiting request. */
 const updateIntervalMs = 250
+/** Interval of looks for ledgers that this router has not read. */
+const learnIntervalMs = 3000
 /** Size of the fleet that is assumed before a ledger was read. */
 const unknownRouterCount = 32
 /** A router is of little use when one in this number of its slices is nearly spent. */
@@ -24,12 +27,14 @@
   /** Ledgers of the organisations whose requests came here. */
   readonly #ledgers = new Map<string, OrganisationLedger>()
   readonly #stopTicking: Unsubscribe
+  readonly #stopLearning: Unsubscribe
 
   constructor (options: Omit<LedgerOptions, 'outage'>) {
     this.#options = { ...options, outage: new StoreOutage(options.random) }
     this.#stopTicking = options.timers.every(updateIntervalMs, () => {
       for (const ledger of this.#ledgers.values()) ledger.update()
     })
+    this.#stopLearning = options.timers.every(learnIntervalMs, () => { void this.#learnLenders() })
   }
 
   /** Takes the prepaid budgets of a new configuration. */
@@ -48,12 +53,7 @@
 
   /** Reserves a request at its largest size. */
   reserve (organisation: string, request: BudgetRequest): Promise<Reservation> | Reservation {
-    let ledger = this.#ledgers.get(organisation)
-    if (ledger === undefined) {
-      ledger = new OrganisationLedger(organisation, this.#prepaid.get(organisation) ?? 0, this.#options)
-      this.#ledgers.set(organisation, ledger)
-    }
-    return ledger.reserve(request)
+    return this.#ledgerOf(organisation).reserve(request)
   }
 
   /** Lends tokens to another router, if the ledger names this one as the lender. */
@@ -74,14 +74,37 @@
     return starved > 0 && starved * starvedPart >= this.#ledgers.size
   }
 
+  #ledgerOf (organisation: string): OrganisationLedger {
+    let ledger = this.#ledgers.get(organisation)
+    if (ledger === undefined) {
+      ledger = new OrganisationLedger(organisation, this.#prepaid.get(organisation) ?? 0, this.#options)
+      this.#ledgers.set(organisation, ledger)
+    }
+    return ledger
+  }
+
+  /** Learns who lends, so that the first request of an organisation can be served while the store is away. */
+  async #learnLenders (): Promise<void> {
+    const isComplete = [...this.#prepaid.keys()].every(name => this.#ledgers.get(name)?.object.wasSeen === true)
+    if (isComplete || this.#options.loans === undefined) return
+    const answer = await this.#options.store.list('budgets', { mayBeStale: true })
+    if (answer.isErr()) return
+    for (const object of answer.value.objects) {
+      const hasLender = ledgerSchema.safeParse(object.value).data?.lender !== undefined
+      if (hasLender && this.#prepaid.has(object.name)) this.#ledgerOf(object.name).object.show(object)
+    }
+  }
+
   /** Gives all unspent tokens back before the process ends. */
   async close (): Promise<void> {
     this.#stopTicking()
+    this.#stopLearning()
     await Promise.all([...this.#ledgers.values()].map(ledger => ledger.close()))
   }
 
   /** Stops without a word to the store. */
   abandon (): void {
     this.#stopTicking()
+    this.#stopLearning()
   }
 }
--- a/packages/gateway/src/node/ledgerObject.ts
+++ b/packages/gateway/src/node/ledgerObject.ts
@@ -19,8 +19,8 @@
   #revision: number | undefined
   /** Revision that a write without an answer expected; the write may still take effect while the object is at it. */
   #uncertainRevision: number | undefined
-  #learnedMs = 0
-  #refreshedMs = 0
+  #learnedMs: number | undefined
+  #refreshedMs: number | undefined
 
   constructor (options: LedgerObjectOptions) {
     this.#options = options
@@ -36,12 +36,12 @@
 
   /** Time since the store told the newest state. */
   get ageMs (): number {
-    return this.#nowMs() - this.#learnedMs
+    return this.#nowMs() - (this.#learnedMs ?? 0)
   }
 
   /** Time since the store told any state, also one that may have been old. */
   get refreshAgeMs (): number {
-    return this.#nowMs() - Math.max(this.#learnedMs, this.#refreshedMs)
+    return this.#nowMs() - Math.max(this.#learnedMs ?? 0, this.#refreshedMs ?? 0)
   }
 
   /** Whether a write that got no answer may still take effect. */
@@ -49,6 +49,18 @@
     return this.#uncertainRevision !== undefined && (this.#revision === undefined || this.#revision === this.#uncertainRevision)
   }
 
+  /** Whether any state of the ledger was seen. */
+  get wasSeen (): boolean {
+    return this.#learnedMs !== undefined || this.#refreshedMs !== undefined
+  }
+
+  /** Takes a state that may be old; one that is known already is never replaced. */
+  show (object: StoredObject): void {
+    if (this.wasSeen) return
+    this.#refreshedMs = this.#nowMs()
+    this.#take(object)
+  }
+
   /** Reads the newest state. */
   async read (): Promise<StoreFailure | undefined> {
     const answer = await this.#options.store.read('budgets', this.#options.organisation)
--- a/packages/gateway/src/node/lending.ts
+++ b/packages/gateway/src/node/lending.ts
@@ -26,11 +26,6 @@
     return this.#book.borrowers
   }
 
-  /** Rate at which the borrowers spend. */
-  ratePerMs (nowMs: number): number {
-    return this.#book.ratePerMs(nowMs)
-  }
-
   /** Tokens that are lent and not used. */
   get idleTokens (): number {
     return this.#book.idleTokens
@@ -39,9 +34,12 @@
   async lend (request: LoanRequest): Promise<LoanReply> {
     const { slice, isLender, nowMs } = this.#options
     const { borrower, sequence, grantedTokens, committedTokens, ratePerMs } = request
-    const returned = this.#book.note(borrower, { sequence, grantedTokens, committedTokens, ratePerMs, notedMs: nowMs() })
+    const spentTokens = committedTokens - this.#book.of(borrower).committedTokens
+    const returned = this.#book.note(borrower, { sequence, grantedTokens, committedTokens })
     if (returned === undefined) return { kind: 'overtaken' }
     slice.settle(returned, 0)
+    // The lender's slice has to serve the spending of all.
+    if (spentTokens > 0) slice.noteSpending(spentTokens, nowMs())
     // What was lent before stays valid, but a router that no longer lends gives nothing more.
     if (!isLender() && request.requests.length > 0) return { kind: 'notLender' }
     const verdicts = await Promise.all(request.requests.map(each => this.#lendFor(request, each)))
--- a/packages/gateway/src/node/organisationLedger.ts
+++ b/packages/gateway/src/node/organisationLedger.ts
@@ -39,13 +39,15 @@
 const staleMs = 6000
 /** Unassigned share of the budget below which idle tokens may be missing elsewhere. */
 const scarceShare = 0.4
+/** Share of the budget that a router that borrows may hold idle without giving it back. */
+const idleGrantShare = 0.002
 
 export class OrganisationLedger {
   readonly #organisation: string
   readonly #options: LedgerOptions
   readonly #slice: BudgetSlice
   #prepaidTokens: number
-  readonly #object: LedgerObject
+  readonly object: LedgerObject
   readonly #lending: Lending
   readonly #borrowing: Borrowing | undefined
   readonly #waiting = new WaitingRequests()
@@ -57,7 +59,7 @@
     this.#prepaidTokens = prepaidTokens
     this.#options = options
     this.#slice = new BudgetSlice(this.#nowMs())
-    this.#object = new LedgerObject({ organisation, store: options.store, timers: options.timers, log: options.log, onLearned: () => { this.#takeGrant() } })
+    this.object = new LedgerObject({ organisation, store: options.store, timers: options.timers, log: options.log, onLearned: () => { this.#takeGrant() } })
     this.#lending = new Lending({
       slice: this.#slice,
       isLender: () => this.#isLender,
@@ -66,12 +68,12 @@
       nowMs: () => this.#nowMs()
     })
     const { loans, holder } = options
-    if (loans !== undefined) this.#borrowing = new Borrowing({ organisation, holder, slice: this.#slice, client: loans.client, nowMs: () => this.#nowMs() })
+    if (loans !== undefined) this.#borrowing = new Borrowing({ ...loans, organisation, holder, slice: this.#slice, nowMs: () => this.#nowMs() })
   }
 
   /** Routers that spend from the budget, this one included. */
   get routerCount (): number {
-    return Math.max(routersOf(this.#object.ledger, this.#options.holder), this.#lending.borrowers + 1, this.#borrowing?.routers ?? 1)
+    return Math.max(routersOf(this.object.ledger, this.#options.holder), this.#lending.borrowers + 1, this.#borrowing?.routers ?? 1)
   }
 
   /** Whether the slice is nearly spent and cannot grow, because the store is away. */
@@ -113,12 +115,11 @@
 
   /** Gives back what was not committed, so that other routers can spend it, and lends no more. */
   async close (): Promise<void> {
-    const wasLender = this.#isLender
-    const lender = this.#lender()
+    const [wasLender, lender] = [this.#isLender, this.#lender()]
     this.#isClosing = true
     if (lender !== undefined) await this.#borrowing?.returnAll(lender)
     for (let round = 0; round < maxCloseRounds; round++) {
-      if (this.#object.revision === undefined && await this.#object.read() !== undefined) return
+      if (this.object.revision === undefined && await this.object.read() !== undefined) return
       const committedTokens = Math.ceil(this.#slice.ownCommittedTokens)
       const isDone = this.#slice.ownTokens <= committedTokens && !wasLender
       if (isDone || await this.#write(committedTokens) === undefined) return
@@ -147,7 +148,7 @@
   /** Whether the last part of the budget stays for more urgent requests. A borrower's lender sees to it. */
   #leavesKept (tokens: number, rank: number): boolean {
     if (rank === 0 || this.#isOutage || this.#lender() !== undefined) return true
-    const others = othersTotal(this.#object.ledger, this.#options.holder)
+    const others = othersTotal(this.object.ledger, this.#options.holder)
     return this.#prepaidTokens - others.grantedTokens - this.#slice.ownCommittedTokens - tokens >= keptTokens(this.#prepaidTokens, rank)
   }
 
@@ -160,11 +161,13 @@
       this.#serveWaiters()
       const lender = this.#lender()
       if (lender !== undefined) {
-        if (!this.#isLoanDue(lender)) break
-        await this.#borrow(lender)
-        continue
+        if (this.#isLoanDue(lender)) {
+          await this.#borrow(lender)
+          continue
+        }
+        if (!this.#holdsIdleGrant) break
       }
-      const failure = await this.#step()
+      const failure = lender === undefined ? await this.#step() : await this.#returnGrant()
       if (failure === 'settled') break
       calls++
       const isAnswered = failure === undefined || failure.kind === 'conflict'
@@ -193,28 +196,28 @@
       grantedTokens,
       committedTokens,
       unassignedTokens: unassignedTokens(this.#input()),
-      ledgerRevision: this.#object.revision ?? null,
+      ledgerRevision: this.object.revision ?? null,
       calls
     })
   }
 
   /** Makes the next call to the store, or says that none is needed. */
   async #step (): Promise<StoreFailure | undefined | 'settled'> {
-    if (this.#object.revision === undefined) return await this.#object.read()
+    if (this.object.revision === undefined) return await this.object.read()
     const input = this.#input()
     const granted = planGrant(input)
     if (needsUpdate(input) && granted !== this.#slice.ownTokens) {
       // Others have most likely written since, and a conflict costs as much as a write.
-      return this.#object.refreshAgeMs > freshMs ? await this.#object.refresh() : await this.#write(granted)
+      return this.object.refreshAgeMs > freshMs ? await this.object.refresh() : await this.#write(granted)
     }
     if (!this.#mustLook(input)) return 'settled'
-    return this.#waiting.length > 0 ? await this.#object.read() : await this.#object.refresh()
+    return this.#waiting.length > 0 ? await this.object.read() : await this.object.refresh()
   }
 
   /** Whether other routers may have changed what matters now. */
   #mustLook (input: GrantInput): boolean {
-    if (this.#waiting.length > 0) return this.#object.ageMs > freshMs
-    return this.#object.refreshAgeMs > staleMs && unassignedShare(input) < scarceShare && this.#slice.availableTokens > 0
+    if (this.#waiting.length > 0) return this.object.ageMs > freshMs
+    return this.object.refreshAgeMs > staleMs && unassignedShare(input) < scarceShare && this.#slice.availableTokens > 0
   }
 
   get #isOutage (): boolean {
@@ -224,24 +227,23 @@
   /** Whether the store or the lender has to be asked, and may be. */
   #isUpdateDue (): boolean {
     const lender = this.#lender()
-    if (lender !== undefined) return this.#isLoanDue(lender)
+    if (lender !== undefined) return this.#isLoanDue(lender) || (this.#holdsIdleGrant && this.#options.outage.mayCall(this.#nowMs()))
     const input = this.#input()
-    const isNeeded = this.#waiting.length > 0 || this.#object.revision === undefined || needsUpdate(input) || this.#mustLook(input)
+    const isNeeded = this.#waiting.length > 0 || this.object.revision === undefined || needsUpdate(input) || this.#mustLook(input)
     return isNeeded && this.#options.outage.mayCall(this.#nowMs())
   }
 
   #input (): GrantInput {
-    const others = othersTotal(this.#object.ledger, this.#options.holder)
+    const others = othersTotal(this.object.ledger, this.#options.holder)
     const committedTokens = this.#slice.ownCommittedTokens
     return {
       prepaidTokens: this.#prepaidTokens,
       othersGrantedTokens: others.grantedTokens,
-      holders: routersOf(this.#object.ledger, this.#options.holder),
+      holders: routersOf(this.object.ledger, this.#options.holder),
       isLender: this.#isLender,
       committedTokens,
       grantedTokens: committedTokens + this.#slice.availableTokens,
       ratePerMs: this.#slice.ratePerMs(this.#nowMs()),
-      lentRatePerMs: this.#lending.ratePerMs(this.#nowMs()),
       waitingTokens: this.#waiting.fittingTokens(this.#prepaidTokens - others.grantedTokens - committedTokens, this.#prepaidTokens)
     }
   }
@@ -252,28 +254,31 @@
     const grant = { grantedTokens, committedTokens: this.#publishedTokens }
     // What is given back may not be spent while the write is on its way.
     if (grantedTokens < this.#slice.ownTokens) this.#slice.setOwn(grantedTokens)
-    const ledger = withClosedHolders(this.#object.ledger, id => this.#isFormer(id))
-    const failure = await this.#object.write(withLender(withGrant(ledger, holder, grant), this.#nextLender(ledger.lender)))
+    const ledger = withClosedHolders(this.object.ledger, id => this.#isFormer(id))
+    const failure = await this.object.write(withLender(withGrant(ledger, holder, grant), this.#borrowing === undefined ? ledger.lender : this.#borrowing.nextLender(ledger.lender, this.#isClosing)))
     if (failure === undefined) this.#slice.setFilled(isTight(this.#input()) ? 0 : this.#slice.availableTokens)
     return failure
   }
 
   get #isLender (): boolean {
-    return !this.#isClosing && this.#object.ledger.lender?.holder === this.#options.holder
+    return !this.#isClosing && this.object.ledger.lender?.holder === this.#options.holder
   }
 
   /** The other router that lends tokens of this budget, if it may be asked. */
   #lender (): LenderEntry | undefined {
-    const { lender } = this.#object.ledger
+    const { lender } = this.object.ledger
     if (lender === undefined || this.#borrowing === undefined || lender.holder === this.#options.holder || this.#isClosing) return undefined
     return this.#borrowing.mayAsk(lender) ? lender : undefined
   }
 
-  /** The lender after the next write: this router, when there is none or it is lost. */
-  #nextLender (present: LenderEntry | undefined): LenderEntry | undefined {
-    const { loans, holder } = this.#options
-    if (present !== undefined && present.holder !== holder && this.#borrowing?.isLost(present) !== true) return present
-    return loans === undefined || this.#isClosing ? undefined : { holder, address: loans.address }
+  /** Whether a router that borrows still holds a grant that it does not use, from the time before there was a lender. */
+  get #holdsIdleGrant (): boolean {
+    return this.#slice.ownTokens - this.#slice.ownCommittedTokens > idleGrantShare * this.#prepaidTokens
+  }
+
+  async #returnGrant (): Promise<StoreFailure | undefined> {
+    if (this.object.revision === undefined) return await this.object.read()
+    return await this.#write(Math.ceil(this.#slice.ownCommittedTokens))
   }
 
   #isLoanDue (lender: LenderEntry): boolean {
@@ -290,7 +295,7 @@
     }
     this.#waiting.putBack(asked)
     // Another router may have taken the lender's place.
-    if (reply.kind === 'notLender') await this.#object.read()
+    if (reply.kind === 'notLender') await this.object.read()
   }
 
   #answerAsked (waiter: Waiter, verdict: LoanVerdict | undefined): void {
@@ -312,9 +317,9 @@
   }
 
   #takeGrant (): void {
-    const granted = this.#object.ledger.holders[this.#options.holder]?.grantedTokens ?? 0
+    const granted = this.object.ledger.holders[this.#options.holder]?.grantedTokens ?? 0
     // While a write that gives tokens back may still take effect, only the smaller grant is safe.
-    this.#slice.setOwn(this.#object.isUncertain ? Math.min(this.#slice.ownTokens, granted) : granted)
+    this.#slice.setOwn(this.object.isUncertain ? Math.min(this.#slice.ownTokens, granted) : granted)
   }
 
   #serveWaiters (): void {
@@ -329,9 +334,9 @@
       organisation: this.#organisation,
       prepaidTokens: this.#prepaidTokens,
       committedTokens: this.#publishedTokens,
-      others: othersTotal(this.#object.ledger, holder),
+      others: othersTotal(this.object.ledger, holder),
       slice: this.#slice,
-      object: this.#object,
+      object: this.object,
       outageMs: outage.sinceMs === undefined ? undefined : this.#nowMs() - outage.sinceMs,
       storeFailure,
       nowMs: this.#nowMs(),
--- a/packages/policy/src/shared/ledger/budgetSlice.ts
+++ b/packages/policy/src/shared/ledger/budgetSlice.ts
@@ -2,6 +2,8 @@
 
 /** Time constant of the spending rate. */
 const rateTimeMs = 6000
+/** The rate is estimated from this time after the start at the earliest. */
+const leastRateTimeMs = 1000
 
 /**
  * Share of a slice that requests of a rank leave to more urgent ones, by rank.
@@ -23,9 +25,11 @@
   #filledTokens = 0
   #ratePerMs = 0
   #rateUpdatedMs: number
+  readonly #startedMs: number
 
   constructor (nowMs: number) {
     this.#rateUpdatedMs = nowMs
+    this.#startedMs = nowMs
   }
 
   get grantedTokens (): number {
@@ -36,9 +40,9 @@
     return this.#ownTokens
   }
 
-  /** Tokens spent or reserved of the own ones; borrowed ones are used up first. */
+  /** Tokens spent or reserved of the own ones, which are used up before borrowed ones. */
   get ownCommittedTokens (): number {
-    return Math.max(0, this.committedTokens - this.#borrowedTokens)
+    return Math.min(this.#ownTokens, this.committedTokens)
   }
 
   /** Tokens spent or reserved; the grant never falls below it. */
@@ -78,7 +82,7 @@
     const keptShare = keptShares[Math.min(rank, keptShares.length - 1)] ?? 0
     if (tokens > this.availableTokens - keptShare * this.#filledTokens) return false
     this.#reservedTokens += tokens
-    if (nowMs !== undefined) this.#noteRate(tokens, nowMs)
+    if (nowMs !== undefined) this.noteSpending(tokens, nowMs)
     return true
   }
 
@@ -97,11 +101,18 @@
 
   /** Tokens per ms reserved lately. */
   ratePerMs (nowMs: number): number {
-    return this.#ratePerMs * Math.exp(-(nowMs - this.#rateUpdatedMs) / rateTimeMs)
+    // A moving rate that began at 0 is too low by the part of it that lies before the start.
+    const elapsedMs = Math.max(leastRateTimeMs, nowMs - this.#startedMs)
+    return this.#movingRate(nowMs) / (1 - Math.exp(-elapsedMs / rateTimeMs))
   }
 
-  #noteRate (tokens: number, nowMs: number): void {
-    this.#ratePerMs = this.ratePerMs(nowMs) + tokens / rateTimeMs
+  /** Counts tokens as spent at this time. */
+  noteSpending (tokens: number, nowMs: number): void {
+    this.#ratePerMs = this.#movingRate(nowMs) + tokens / rateTimeMs
     this.#rateUpdatedMs = nowMs
   }
+
+  #movingRate (nowMs: number): number {
+    return this.#ratePerMs * Math.exp(-(nowMs - this.#rateUpdatedMs) / rateTimeMs)
+  }
 }
--- a/packages/policy/src/shared/ledger/loanBook.ts
+++ b/packages/policy/src/shared/ledger/loanBook.ts
@@ -11,15 +11,9 @@
   readonly grantedTokens: number
   /** Tokens of these that the borrower had spent or reserved. */
   readonly committedTokens: number
-  /** Rate of the borrower's spending at that time. */
-  readonly ratePerMs: number
-  readonly notedMs: number
 }
 
-const noLoan: Loan = { sequence: 0, grantedTokens: 0, committedTokens: 0, ratePerMs: 0, notedMs: 0 }
-
-/** Time constant in which a stated rate is forgotten, so that ended borrowers do not count for long. */
-const rateTimeMs = 6000
+const noLoan: Loan = { sequence: 0, grantedTokens: 0, committedTokens: 0 }
 
 export class LoanBook {
   readonly #loans = new Map<string, Loan>()
@@ -35,13 +29,6 @@
     return idle
   }
 
-  /** Rate at which all borrowers spend. */
-  ratePerMs (nowMs: number): number {
-    let sum = 0
-    for (const { ratePerMs, notedMs } of this.#loans.values()) sum += ratePerMs * Math.exp(-(nowMs - notedMs) / rateTimeMs)
-    return sum
-  }
-
   of (borrower: string): Loan {
     return this.#loans.get(borrower) ?? noLoan
   }
--- a/packages/policy/src/shared/ledger/planGrant.ts
+++ b/packages/policy/src/shared/ledger/planGrant.ts
@@ -11,8 +11,6 @@
   readonly committedTokens: number
   readonly grantedTokens: number
   readonly ratePerMs: number
-  /** Rate at which other routers spend what they borrow. */
-  readonly lentRatePerMs: number
   /** Largest request that waits for tokens, 0 for none. */
   readonly waitingTokens: number
 }
@@ -24,8 +22,6 @@
  * budget slices shrink.
  */
 const longestHorizonMs = 14_000
-/** Time of its borrowers' spending that a lender holds at most; they hold some themselves. */
-const lentHorizonMs = 1500
 const shortestHorizonMs = 400
 /** Unassigned share of the budget below which nothing is held in advance. */
 const tightShare = 0.06
@@ -63,7 +59,7 @@
 }
 
 /** Time of spending that a router holds, by the unassigned share of the budget. */
-export function horizonMs (share: number): number {
+function horizonMs (share: number): number {
   const position = Math.min(1, Math.max(0, (share - tightShare) / (ampleShare - tightShare)))
   return shortestHorizonMs + position * (longestHorizonMs - shortestHorizonMs)
 }
@@ -74,9 +70,8 @@
   const waiting = input.waitingTokens <= free ? input.waitingTokens : 0
   if (isTight(input)) return input.committedTokens + waiting
   const share = unassignedShare(input)
-  const horizon = horizonMs(share)
   const firstTokens = input.prepaidTokens * firstSharesTotal / Math.max(leastRouters, input.holders) * Math.max(0, share * 2 - 1)
-  const wanted = Math.max(input.ratePerMs * horizon + input.lentRatePerMs * Math.min(horizon, lentHorizonMs), firstTokens, waiting)
+  const wanted = Math.max(input.ratePerMs * horizonMs(share), firstTokens, waiting)
   const fairShare = Math.max(waiting, free / (input.holders + 1))
   return Math.floor(input.committedTokens + Math.min(wanted, fairShare))
 }
--- a/packages/policy/src/shared/ledger/planLoan.ts
+++ b/packages/policy/src/shared/ledger/planLoan.ts
@@ -1,11 +1,12 @@
 /** Decides how much a router borrows ahead of its requests, and what it gives back. */
-import { horizonMs } from './planGrant.ts'
 
 /** A loan is renewed below this share of what is to be held, and partly returned above this multiple of it. */
 const renewShare = 0.5
 const returnFactor = 3
 /** Share of the budget, not yet granted to anyone, below which nothing is borrowed ahead. */
 const tightShare = 0.05
+/** Time of spending that a router borrows ahead; what it holds does not help the others, and is lost when it is killed. */
+const aheadMs = 2500
 
 export interface PrefetchInput {
   /** Tokens that the borrower should hold. */
@@ -19,7 +20,7 @@
 
 /** Tokens that a borrower should hold for the requests to come. */
 export function plannedIdleTokens (unassignedShare: number, ratePerMs: number): number {
-  return unassignedShare < tightShare ? 0 : ratePerMs * horizonMs(unassignedShare)
+  return unassignedShare < tightShare ? 0 : ratePerMs * aheadMs
 }
 
 /** Tokens that a lender adds beyond what waits. */
