--- a/packages/gateway/src/node/borrowing.ts
+++ b/packages/gateway/src/node/borrowing.ts
@@ -1,4 +1,5 @@
 /** The loans that this router has from others for one budget. */
+import type { Log } from '@buckthorndrift/kernel'
 import { needsLoan, returnableTokens, type BudgetSlice, type LenderEntry } from '@buckthorndrift/policy'
 import type { LoanReply } from '../shared/loans.ts'
 import type { Waiter } from './budgetRequest.ts'
@@ -19,6 +20,7 @@
   readonly address: string
   readonly slice: BudgetSlice
   readonly client: LoanClient
+  readonly log: Log
   nowMs (): number
 }
 
@@ -96,11 +98,11 @@
       maxWaitMs: waiters.reduce((longest, { maxWaitMs }) => Math.max(longest, maxWaitMs), 0)
     })
     if (answer.isErr()) {
-      this.#noteFailure(lender, answer.error.kind === 'gone')
+      this.#noteFailure(lender, answer.error.kind === 'gone', answer.error.kind === 'gone' ? 'connection refused' : answer.error.detail)
       return { kind: 'failed' }
     }
     // A process that was started anew listens at the address of the one that lent.
-    if (answer.value.kind === 'notLender') this.#noteFailure(lender, true)
+    if (answer.value.kind === 'notLender') this.#noteFailure(lender, true, 'it does not lend tokens of this budget')
     else this.#failing = undefined
     if (answer.value.kind === 'lent') this.#take(lender, answer.value)
     return answer.value
@@ -135,8 +137,10 @@
     return Math.min(this.#loanFrom(lender), returnableTokens(this.#options.slice.availableTokens, this.#plannedTokens))
   }
 
-  #noteFailure ({ holder }: LenderEntry, isGone: boolean): void {
+  #noteFailure ({ holder, address }: LenderEntry, isGone: boolean, detail: string): void {
+    const { organisation, log } = this.#options
     const nowMs = this.#options.nowMs()
+    log.event('lenderFailed', { organisation, lender: holder, address, isGone, detail })
     const sinceMs = this.#failing?.holder === holder ? this.#failing.sinceMs : nowMs
     this.#failing = { holder, sinceMs, askAgainMs: nowMs + retryMs, isGone }
   }
--- a/packages/gateway/src/node/organisationLedger.ts
+++ b/packages/gateway/src/node/organisationLedger.ts
@@ -68,7 +68,7 @@
       nowMs: () => this.#nowMs()
     })
     const { loans, holder } = options
-    if (loans !== undefined) this.#borrowing = new Borrowing({ ...loans, organisation, holder, slice: this.#slice, nowMs: () => this.#nowMs() })
+    if (loans !== undefined) this.#borrowing = new Borrowing({ ...loans, organisation, holder, slice: this.#slice, log: options.log, nowMs: () => this.#nowMs() })
   }
 
   /** Routers that spend from the budget, this one included. */
--- a/packages/kernel/src/shared/events/gatewayEvents.ts
+++ b/packages/kernel/src/shared/events/gatewayEvents.ts
@@ -18,6 +18,7 @@
   ledgerUnreadable: { number: 1820, level: 'error', message: 'a budget ledger object cannot be read', action: 'Restore the object; requests of its organisations are refused meanwhile.' },
   budgetSliceChanged: { number: 1821, level: 'info', message: 'the part of a budget that this router may spend changed', action: 'none' },
   budgetRefused: { number: 1822, level: 'info', message: 'tokens of a request were not reserved', action: 'When leftTokens is below tokens the budget is used up; otherwise other routers hold the rest, or the store did not answer.' },
+  lenderFailed: { number: 1823, level: 'warn', message: 'the router that lends tokens of a budget did not lend', action: 'Look at that router and the network between the two; this router asks the store meanwhile.' },
   requestRetried: { number: 1831, level: 'info', message: 'attempt failed; the request goes to another endpoint', action: 'none' },
   requestRefused: { number: 1832, level: 'info', message: 'request was refused', action: 'The reason names the cause.' },
   requestFinished: { number: 1833, level: 'info', message: 'request was answered', action: 'none' },
