--- a/packages/policy/src/shared/ledger/planGrant.ts
+++ b/packages/policy/src/shared/ledger/planGrant.ts
@@ -22,6 +22,8 @@
  * budget slices shrink.
  */
 const longestHorizonMs = 14_000
+/** The same for a lender, whose slice serves all routers: shared tokens go further than many small slices. */
+const lenderHorizonMs = 8000
 const shortestHorizonMs = 400
 /** Unassigned share of the budget below which nothing is held in advance. */
 const tightShare = 0.06
@@ -59,9 +61,9 @@
 }
 
 /** Time of spending that a router holds, by the unassigned share of the budget. */
-function horizonMs (share: number): number {
+function horizonMs (share: number, longestMs: number): number {
   const position = Math.min(1, Math.max(0, (share - tightShare) / (ampleShare - tightShare)))
-  return shortestHorizonMs + position * (longestHorizonMs - shortestHorizonMs)
+  return shortestHorizonMs + position * (longestMs - shortestHorizonMs)
 }
 
 /** Grant in tokens that the router asks for. */
@@ -71,7 +73,7 @@
   if (isTight(input)) return input.committedTokens + waiting
   const share = unassignedShare(input)
   const firstTokens = input.prepaidTokens * firstSharesTotal / Math.max(leastRouters, input.holders) * Math.max(0, share * 2 - 1)
-  const wanted = Math.max(input.ratePerMs * horizonMs(share), firstTokens, waiting)
+  const wanted = Math.max(input.ratePerMs * horizonMs(share, input.isLender ? lenderHorizonMs : longestHorizonMs), firstTokens, waiting)
   const fairShare = Math.max(waiting, free / (input.holders + 1))
   return Math.floor(input.committedTokens + Math.min(wanted, fairShare))
 }
