Do not take a lender's answer that a later message has overtaken

Cause: a router that stops gives its loans back while an earlier message may be on its way; the answer to that one, coming last, raised the loan again although the lender had already taken the tokens back, and for a moment they could have been spent twice. Found by reading; no run showed it, since a stopping router admits nothing new.

Ruled out: waiting for the earlier message, which can take longer than the time left to a stopping process.

Change: an answer counts only for the last message.

Measured: the new test fails before (500 tokens held) and passes after.

--- /dev/null
+++ b/packages/gateway/src/node/__tests__/borrowing.test.ts
@@ -0,0 +1,29 @@
+import { Ok, type Result } from 'ts-results-es'
+import { describe, expect, it } from 'vitest'
+import { silentLog } from '@buckthorndrift/kernel'
+import { BudgetSlice } from '@buckthorndrift/policy'
+import type { LoanReply } from '../../shared/loans.ts'
+import { Borrowing } from '../borrowing.ts'
+import type { LoanClient, LoanFailure } from '../loanClient.ts'
+
+const lender = { holder: 'lender.1', address: 'lender:1' }
+
+function lent (grantedTokens: number): Result<LoanReply, LoanFailure> {
+  return Ok({ kind: 'lent', grantedTokens, plannedTokens: 0, verdicts: [], routers: 2 })
+}
+
+describe('Borrowing', () => {
+  it('does not take an answer to a message that a later one has overtaken, since the lender may have lent those tokens again', async () => {
+    const answers: Array<(reply: Result<LoanReply, LoanFailure>) => void> = []
+    const client: LoanClient = { ask: () => new Promise(resolve => { answers.push(resolve) }), close: () => Promise.resolve() }
+    const slice = new BudgetSlice(0)
+    const borrowing = new Borrowing({ organisation: 'firm', holder: 'me.1', address: 'me:1', slice, client, log: silentLog, nowMs: () => 0 })
+    const first = borrowing.ask(lender, [])
+    const second = borrowing.ask(lender, [])
+    answers[1]!(lent(0))
+    await second
+    answers[0]!(lent(500))
+    await first
+    expect(slice.grantedTokens).toBe(0)
+  })
+})
--- a/packages/gateway/src/node/borrowing.ts
+++ b/packages/gateway/src/node/borrowing.ts
@@ -87,16 +87,19 @@
     this.#askedMs = nowMs()
     // Tokens that are given back must not be spent while the message is on its way.
     this.#setLoan(lender, this.#loanFrom(lender) - this.#returnableTokens(lender))
+    const sequence = ++this.#sequence
     const answer = await client.ask(lender.address, {
       organisation,
       borrower: holder,
-      sequence: ++this.#sequence,
+      sequence,
       grantedTokens: this.#loanFrom(lender),
       committedTokens: Math.min(this.#loanFrom(lender), slice.committedTokens - slice.ownCommittedTokens),
       ratePerMs: slice.ratePerMs(nowMs()),
       requests: waiters.map(({ attemptId, tokens, rank }) => ({ attemptId, tokens, rank })),
       maxWaitMs: waiters.reduce((longest, { maxWaitMs }) => Math.max(longest, maxWaitMs), 0)
     })
+    // A later message tells the lender something else; its answer counts.
+    if (sequence !== this.#sequence) return { kind: 'overtaken' }
     if (answer.isErr()) {
       this.#noteFailure(lender, answer.error.kind === 'gone', answer.error.kind === 'gone' ? 'connection refused' : answer.error.detail)
       return { kind: 'failed' }
