End the gateway when a listener cannot open

A gateway that could not open its listener set its exit code but went on following the store, without a listener, so that nothing started it again.

--- a/packages/gateway/src/node/runGateway.ts
+++ b/packages/gateway/src/node/runGateway.ts
@@ -46,6 +46,8 @@
     if (isStopRequested) await gateway.stop()
   } catch (error) {
     process.stderr.write(`The gateway cannot start: ${error instanceof Error ? error.message : String(error)}\n`)
-    process.exitCode = exitFailed
+    // Timers and connections of the parts that did start would keep the process running.
+    lines.flush()
+    setTimeout(() => { process.exit(exitFailed) }, flushMs)
   }
 }
