--- a/packages/gateway/src/node/callRun.ts
+++ b/packages/gateway/src/node/callRun.ts
@@ -3,6 +3,7 @@
 import { attemptTimeoutMs, isRepeatable, classifyResponse } from '../shared/attemptRules.ts'
 import { EventSplitter } from '../shared/eventSplitter.ts'
 import type { Route } from '../shared/fleet.ts'
+import { ResponseTimings } from '../shared/responseTimings.ts'
 import { sendFailure } from './sendFailure.ts'
 import { contentOf, type CallInput } from './callInput.ts'
 import { CallBudget } from './callBudget.ts'
@@ -38,9 +39,7 @@
   /** Whether an endpoint may have run the request, or an attempt is in flight. */
   #wasSent = false
   #placement: Placement | undefined
-  #firstByteMs: number | undefined
-  #lastEventMs: number | undefined
-  #longestGapMs = 0
+  readonly #timings = new ResponseTimings()
   #isDone = false
   #lastDetail = ''
 
@@ -53,9 +52,7 @@
 
   async start (): Promise<void> {
     const { response, deadlineAtMs } = this.#input
-    response.on('close', () => {
-      if (!this.#isDone) this.#onCallerDisconnect()
-    })
+    response.on('close', () => { if (!this.#isDone) this.#onCallerDisconnect() })
     this.#deadlineTimer = setTimeout(() => { this.#onDeadline() }, Math.max(0, deadlineAtMs - this.#state.clock.nowMs()))
     if (!await this.#reserveBudget()) return
     if (!this.#isDone) this.#attempt()
@@ -94,7 +91,7 @@
     const placement = this.#state.place(this.#input, this.#triedIds)
     if (placement === undefined) {
       if (this.#executions > 0 || this.#verdict !== notRun) this.#fail('backEndFailed', this.#lastDetail)
-      else this.#refuse('noEndpoint', 'no endpoint takes the request', this.#state.retryAfterMs())
+      else this.#refuse('noEndpoint', 'no endpoint takes the request', this.#state.retryAfterMs(this.#input.service.name))
       return
     }
     this.#send(placement)
@@ -156,6 +153,7 @@
   #onHead (head: ResponseHead): void {
     this.#responseHead = head
     clearTimeout(this.#attemptTimer)
+    if (this.#endpointAttempt !== undefined) this.#state.recordNotice(this.#endpointAttempt.endpoint, head.status, head.attributes)
     const classification = classifyResponse(head.status, head.attributes)
     if (classification.kind === 'rejected') {
       this.#exchange?.abort()
@@ -170,7 +168,7 @@
   #onData (chunk: Buffer): void {
     if (this.#isDone || this.#responseHead === undefined) return
     const nowMs = this.#state.clock.nowMs()
-    this.#firstByteMs ??= nowMs
+    this.#timings.recordBytes(nowMs)
     this.#endpointAttempt?.recordFirstByte(nowMs)
     if (this.#isStream && this.#responseHead.status === 200) {
       this.#forwardEvents(chunk, nowMs)
@@ -187,9 +185,12 @@
 
   #forwardEvents (chunk: Buffer, nowMs: number): void {
     const { bytes, count } = this.#eventSplitter.push(chunk)
+    if (this.#eventSplitter.isOversized) {
+      this.#abortAttempt('an event is larger than the limit')
+      return
+    }
     if (count === 0) return
-    this.#longestGapMs = Math.max(this.#longestGapMs, nowMs - (this.#lastEventMs ?? nowMs))
-    this.#lastEventMs = nowMs
+    this.#timings.recordEvent(nowMs)
     this.#writeHead()
     this.#callerResponse.write(bytes, this.#exchange)
   }
@@ -233,7 +234,7 @@
       this.#retry(this.#lastDetail)
       return
     }
-    if (this.#verdict === notRun) this.#refuse('endpointFull', 'no endpoint has capacity for the request', this.#state.retryAfterMs())
+    if (this.#verdict === notRun) this.#refuse('endpointFull', 'no endpoint has capacity for the request', this.#state.retryAfterMs(this.#input.service.name))
     else this.#fail('backEndFailed', this.#lastDetail)
   }
 
@@ -249,7 +250,7 @@
         this.#retry(failure.detail)
         return
       }
-      if (this.#verdict === notRun) this.#refuse('noEndpoint', 'no endpoint could be reached', this.#state.retryAfterMs())
+      if (this.#verdict === notRun) this.#refuse('noEndpoint', 'no endpoint could be reached', this.#state.retryAfterMs(this.#input.service.name))
       else this.#fail('endpointLost', failure.detail)
       return
     }
@@ -340,8 +341,8 @@
       endpointIds: [...this.#triedIds],
       runs: this.#executions,
       events: this.#eventSplitter.count,
-      longestGapMs: this.#longestGapMs,
-      firstByteMs: this.#firstByteMs === undefined ? undefined : this.#firstByteMs - this.#input.arrivedMs,
+      longestGapMs: this.#timings.longestGapMs,
+      firstByteMs: this.#timings.firstByteAfterMs(this.#input.arrivedMs),
       placement: this.#placement
     })
   }
--- a/packages/gateway/src/node/endpointConnections.ts
+++ b/packages/gateway/src/node/endpointConnections.ts
@@ -24,6 +24,10 @@
   isReset (): boolean
   /** Whether the TCP connection was established. */
   isConnected (): boolean
+  /** Bytes received on the current socket so far. */
+  readBytes (): number
+  /** Called whenever bytes have arrived, also those that the HTTP client consumes without reporting them. */
+  onReadable: (() => void) | undefined
 }
 
 interface PooledConnection extends Connection {
@@ -83,6 +87,7 @@
   release (connection: Connection, isReusable: boolean): void {
     const pooled = connection as PooledConnection
     pooled.isBusy = false
+    pooled.onReadable = undefined
     pooled.lastUsedMs = performance.now()
     if (pooled.isClosed) return
     if (isReusable) this.#idle.push(pooled)
@@ -152,6 +157,7 @@
           opened.off('error', onError)
           // Registered before the listener of the client, so that a reset is known before the client reports the end of the response.
           opened.on('error', () => { wasReset = true })
+          opened.on('readable', () => { pooled.onReadable?.() })
           callback(null, opened)
         })
       }
@@ -162,7 +168,9 @@
       lastUsedMs: 0,
       isClosed: false,
       isReset: () => wasReset || socket?.errored != null,
-      isConnected: () => wasConnected
+      isConnected: () => wasConnected,
+      readBytes: () => socket?.bytesRead ?? 0,
+      onReadable: undefined
     }
     this.#openCount++
     client.on('disconnect', () => {
--- a/packages/gateway/src/node/exchange.ts
+++ b/packages/gateway/src/node/exchange.ts
@@ -36,6 +36,11 @@
   onFailure (failure: ExchangeFailure): void
 }
 
+/** Limit of received bytes that belong to no body: response heads, chunk framing, chunk extensions and trailers. */
+const maxOverheadBytes = 128 * 1024
+/** Chunk framing that is accepted in addition, per byte of the body. A chunk of one byte has a framing of five bytes. */
+const maxOverheadPerBodyByte = 8
+
 /** Sends the request and reports to the listener. Unless the exchange is aborted, the last call is exactly one of `onEnd` and `onFailure`. */
 export class Exchange {
   readonly #connections: EndpointConnections
@@ -45,11 +50,14 @@
   #attributes: ResponseAttributes | undefined
   #isFinished = false
   #isPaused = false
+  #bodyBytes = 0
 
   constructor (connections: EndpointConnections, dialect: Dialect, request: ExchangeRequest, listener: ExchangeListener) {
     this.#connections = connections
     this.#connection = connections.acquire(request.isRepeatable)
     this.#listener = listener
+    const readBytesBefore = this.#connection.readBytes()
+    this.#connection.onReadable = () => { this.#limitOverhead(readBytesBefore) }
     this.#connection.client.dispatch({
       method: request.method as Dispatcher.HttpMethod,
       path: request.path,
@@ -67,6 +75,7 @@
       },
       onResponseData: (controller, chunk) => {
         if (this.#isFinished) return
+        this.#bodyBytes += chunk.length
         this.#listener.onData(chunk)
         if (this.#isPaused) controller.pause()
       },
@@ -93,6 +102,13 @@
     this.#connections.release(this.#connection, false)
   }
 
+  /** Ends the exchange if the endpoint sends bytes without end that the HTTP client consumes but that are no body, such as informational responses. */
+  #limitOverhead (readBytesBefore: number): void {
+    if (this.#isFinished || this.#isPaused) return
+    const overheadBytes = this.#connection.readBytes() - readBytesBefore - this.#bodyBytes
+    if (overheadBytes > maxOverheadBytes + this.#bodyBytes * maxOverheadPerBodyByte) this.#abortWith('the response consists of too many bytes that are no body')
+  }
+
   #onHead (dialect: Dialect, request: ExchangeRequest, status: number, rawHeaders: readonly Buffer[]): void {
     if (this.#isFinished) return
     const attributes = dialect.parseResponse(rawHeaders)
--- a/packages/gateway/src/node/gatewayState.ts
+++ b/packages/gateway/src/node/gatewayState.ts
@@ -2,6 +2,7 @@
 import type { Log } from '@buckthorndrift/kernel'
 import { placeCall, placeGeneration, rankByRendezvous, type FailureReason, type Hasher, type OverloadGuard } from '@buckthorndrift/policy'
 import type { Deployment } from '../shared/deployment.ts'
+import type { ResponseAttributes } from '../shared/call.ts'
 import type { Dialect } from '../shared/dialect.ts'
 import type { ElapsedClock } from '../shared/elapsedClock.ts'
 import { EndpointDirectory } from '../shared/endpointDirectory.ts'
@@ -61,6 +62,8 @@
 /** Number of ranks that engines distinguish within each priority of an organisation. */
 const ranksPerPriority = 3
 const retryAfterMs = 400
+const minJitter = 0.75
+const unavailableStatus = 503
 /** Share of the allowed retries that routers use. The rest is a margin for requests that moved between windows and are counted only once. */
 const usableRetryShare = 0.75
 
@@ -130,9 +133,35 @@
     return Math.min(maxUrgency, basePriority * ranksPerPriority + Math.min(route.priority, ranksPerPriority - 1))
   }
 
-  /** Retry delay for refused callers, with jitter. */
-  retryAfterMs (): number {
-    return retryAfterMs * (0.75 + this.#random() / 2)
+  /** Retry delay for refused callers, with jitter. While all endpoints of the service have asked for a pause, it lasts until the first pause ends. */
+  retryAfterMs (service?: string): number {
+    const jitter = minJitter + this.#random() / 2
+    const pauseMs = service === undefined ? 0 : this.#shortestPauseMs(service)
+    return Math.max(retryAfterMs * jitter, pauseMs + retryAfterMs * (jitter - minJitter))
+  }
+
+  /** Time until the first endpoint of a service accepts requests again; 0 if one accepts them now or there is none. */
+  #shortestPauseMs (service: string): number {
+    const nowMs = this.clock.nowMs()
+    const pauses = this.directory.ready(service).map(entry => (this.endpoints.get(entry.id)?.pausedUntilMs ?? nowMs) - nowMs)
+    return pauses.length === 0 ? 0 : Math.max(0, Math.min(...pauses))
+  }
+
+  /** Applies what an endpoint says of itself in a response: that it shuts down, or that it wants no requests for a while. */
+  recordNotice (endpoint: TrackedEndpoint, status: number, { isLeaving, retryAfterMs: pauseMs }: ResponseAttributes): void {
+    const { id, service, address, version } = endpoint.entry
+    if (isLeaving && this.directory.markLeaving(endpoint.entry)) this.log.event('endpointChanged', { change: 'leaving', endpoint: id, service, address, version })
+    if (status !== unavailableStatus || pauseMs === undefined) return
+    endpoint.pausedUntilMs = Math.max(endpoint.pausedUntilMs, this.clock.nowMs() + pauseMs)
+    this.log.event('endpointPaused', { endpoint: id, service, address, pauseMs })
+  }
+
+  /** Endpoints of a service that accept requests now. */
+  #accepting (service: string, nowMs: number): readonly EndpointEntry[] {
+    return this.directory.ready(service).filter(entry => {
+      const tracked = this.endpoints.get(entry.id)
+      return tracked === undefined || tracked.entry.startedAtMs !== entry.startedAtMs || nowMs >= tracked.pausedUntilMs
+    })
   }
 
   /** Records how an attempt at an endpoint ended. `down` means that the endpoint fails every request, for example because it refuses connections. */
@@ -162,8 +191,8 @@
 
   /** Chooses an endpoint for the next attempt among those not tried yet; `undefined` when there is none. */
   place (input: CallInput, tried: ReadonlySet<string>): Placement | undefined {
-    const endpoints = this.directory.ready(input.service.name)
     const nowMs = this.clock.nowMs()
+    const endpoints = this.#accepting(input.service.name, nowMs)
     if (input.service.engine !== undefined && input.attributes.generation !== undefined) return this.#placeGeneration(input, endpoints, tried, nowMs)
     const candidates = endpoints.map(entry => this.endpoints.getOrCreate(entry, nowMs).callCandidate(this.deployment.failureDomain, nowMs))
     const id = placeCall(candidates, tried, this.#random)
--- a/packages/gateway/src/node/trackedEndpoints.ts
+++ b/packages/gateway/src/node/trackedEndpoints.ts
@@ -22,6 +22,8 @@
   pendingTokens = 0
   /** Estimated tokens that the requests in flight hold in the memory of the engine. */
   heldTokens = 0
+  /** Until this time the endpoint asked to get no requests. */
+  pausedUntilMs = -Infinity
   #meanResponseMs = initialMeanResponseMs
   #excessMs = 0
   #excessUpdatedMs: number
--- a/packages/gateway/src/shared/call.ts
+++ b/packages/gateway/src/shared/call.ts
@@ -29,6 +29,10 @@
   readonly isSigned: boolean
   /** Whether the endpoint states that it did not run the request. */
   readonly isNotExecuted: boolean
+  /** Whether the endpoint states that it is shutting down. */
+  readonly isLeaving: boolean
+  /** Time for which the endpoint asks to get no further requests, in ms; `undefined` if it states none. */
+  readonly retryAfterMs: number | undefined
   /** Length of the body in bytes; `undefined` without a Content-Length header. */
   readonly contentLengthBytes: number | undefined
   readonly isChunked: boolean
--- a/packages/gateway/src/shared/endpointDirectory.ts
+++ b/packages/gateway/src/shared/endpointDirectory.ts
@@ -9,17 +9,27 @@
 /** If the entry of a running endpoint expired during a store outage, the endpoint registers again within this time after the outage. */
 export const reregistrationWindowMs = 2100
 
+/** Limit of the remembered shutdown announcements; the oldest are forgotten first. */
+const maxLeavingEntries = 5000
+
+/** Distinguishes the incarnations of an endpoint id. */
+function incarnationOf ({ address, startedAtMs }: EndpointEntry): string {
+  return `${address} ${startedAtMs ?? ''}`
+}
+
 export class EndpointDirectory {
   readonly #endpoints = new Map<string, EndpointEntry>()
   /** Time at which each entry that disappeared from the store during an outage is removed, by endpoint id. */
   readonly #removeAtMs = new Map<string, number>()
   readonly #byService = new Map<string, readonly EndpointEntry[]>()
+  /** Incarnations that announced their shutdown in a response, by endpoint id. They stay listed here when their entry is removed, because an entry may come back. */
+  readonly #leaving = new Map<string, string>()
 
   /** Endpoints of a service that accept new requests. */
   ready (service: string): readonly EndpointEntry[] {
     let found = this.#byService.get(service)
     if (found === undefined) {
-      found = [...this.#endpoints.values()].filter(endpoint => endpoint.service === service && !endpoint.isDraining)
+      found = [...this.#endpoints.values()].filter(endpoint => endpoint.service === service && !endpoint.isDraining && !this.#isLeaving(endpoint))
       this.#byService.set(service, found)
     }
     return found
@@ -33,6 +43,20 @@
     return this.#endpoints.size
   }
 
+  /** Records that an endpoint announced its shutdown in a response. This incarnation gets no further requests, whatever its entry in the store says. Returns whether this was not known. */
+  markLeaving (endpoint: EndpointEntry): boolean {
+    if (this.#isLeaving(endpoint)) return false
+    this.#leaving.delete(endpoint.id)
+    this.#leaving.set(endpoint.id, incarnationOf(endpoint))
+    if (this.#leaving.size > maxLeavingEntries) this.#leaving.delete(this.#leaving.keys().next().value!)
+    this.#byService.clear()
+    return true
+  }
+
+  #isLeaving (endpoint: EndpointEntry): boolean {
+    return this.#leaving.get(endpoint.id) === incarnationOf(endpoint)
+  }
+
   put (endpoint: EndpointEntry): DirectoryChange | undefined {
     const previous = this.#endpoints.get(endpoint.id)
     this.#endpoints.set(endpoint.id, endpoint)
--- a/packages/gateway/src/shared/eventSplitter.ts
+++ b/packages/gateway/src/shared/eventSplitter.ts
@@ -3,6 +3,9 @@
 const lineFeed = 0x0A
 const idPattern = /^id: ?(.*)$/m
 
+/** Largest event. An endpoint that fails may send bytes without end, and an incomplete event is held in memory. */
+const maxEventBytes = 256 * 1024
+
 export interface CompleteEvents {
   /** Bytes of the events that this chunk completed. */
   readonly bytes: Buffer
@@ -12,7 +15,9 @@
 }
 
 export class EventSplitter {
-  #pending: Buffer = Buffer.alloc(0)
+  /** Bytes of the event that is not complete yet. They are joined only once it is complete, so that many small chunks take linear time. */
+  #pending: Buffer[] = []
+  #pendingBytes = 0
   #lastId: string | undefined
   #count = 0
 
@@ -27,17 +32,27 @@
 
   /** Buffered bytes of the event that is not complete yet. */
   get pendingBytes (): number {
-    return this.#pending.length
+    return this.#pendingBytes
+  }
+
+  /** Whether the incomplete event exceeds the size limit. */
+  get isOversized (): boolean {
+    return this.#pendingBytes > maxEventBytes
   }
 
   /** Discards a truncated event before the stream resumes at another endpoint. */
   discardPartial (): void {
-    this.#pending = Buffer.alloc(0)
+    this.#setPending(Buffer.alloc(0))
   }
 
   /** Takes the next chunk of the stream and returns the events that it completed. */
   push (chunk: Buffer): CompleteEvents {
-    const bytes = this.#pending.length === 0 ? chunk : Buffer.concat([this.#pending, chunk])
+    if (!this.#completesEvent(chunk)) {
+      if (chunk.length > 0) this.#pending.push(chunk)
+      this.#pendingBytes += chunk.length
+      return { bytes: chunk.subarray(0, 0), count: 0, lastId: this.#lastId }
+    }
+    const bytes = this.#pendingBytes === 0 ? chunk : Buffer.concat([...this.#pending, chunk])
     let end = 0
     let count = 0
     for (let index = 1; index < bytes.length; index++) {
@@ -46,8 +61,19 @@
       end = index + 1
       count++
     }
-    this.#pending = bytes.subarray(end)
+    this.#setPending(bytes.subarray(end))
     this.#count += count
     return { bytes: bytes.subarray(0, end), count, lastId: this.#lastId }
   }
+
+  /** Whether the chunk contains the end of an event, that is, the second of two line feeds. */
+  #completesEvent (chunk: Buffer): boolean {
+    const lastPending = this.#pending.at(-1)?.at(-1)
+    return (lastPending === lineFeed && chunk[0] === lineFeed) || chunk.includes('\n\n')
+  }
+
+  #setPending (bytes: Buffer): void {
+    this.#pending = bytes.length === 0 ? [] : [bytes]
+    this.#pendingBytes = bytes.length
+  }
 }
