--- a/packages/gateway/src/node/__tests__/gatewayMetrics.test.ts
+++ b/packages/gateway/src/node/__tests__/gatewayMetrics.test.ts
@@ -36,6 +36,8 @@
     const metrics = createGatewayMetrics(zeroSources)
     const object = { name: 'firm', revision: 1, value: {}, status: null }
     const store: FleetStore = {
+      era: () => 0,
+      onRestored: () => () => {},
       list: () => Promise.resolve(Ok({ objects: [], revision: 1 })),
       watch: () => Promise.resolve(Err({ kind: 'compacted' })),
       read: () => Promise.resolve(Ok(object)),
--- a/packages/gateway/src/node/budgetLedger.ts
+++ b/packages/gateway/src/node/budgetLedger.ts
@@ -5,33 +5,50 @@
  * written for each request.
  */
 import type { Unsubscribe } from '@buckthorndrift/kernel'
-import { ledgerSchema } from '@buckthorndrift/policy'
+import { ledgerSchema, type ClockReading, type ReleaseLine } from '@buckthorndrift/policy'
 import type { Organisation } from '../shared/fleet.ts'
 import { StoreOutage } from '../shared/storeOutage.ts'
 import type { LoanReply, LoanRequest } from '../shared/loans.ts'
 import type { BudgetRequest, Reservation } from './budgetRequest.ts'
+import { HolderReporter } from './holderReporter.ts'
 import type { LedgerOptions } from './ledgerOptions.ts'
 import { OrganisationLedger } from './organisationLedger.ts'
+import { Predecessors } from './predecessors.ts'
 
 /** Interval at which ledgers without a waiting request are updated. */
 const updateIntervalMs = 250
 /** Interval at which this router looks for lenders in ledgers that it has not read. */
 const lenderDiscoveryIntervalMs = 3000
+/** Delay after a failed attempt to close the grants of earlier processes. */
+const closeRetryMs = 500
 /** Number of routers assumed in the fleet while this router has no ledger to estimate it from. */
 const defaultRouterCount = 32
 /** `isStarved` is true when at least one in this number of slices is nearly spent and cannot be refilled. */
 const starvedSliceDivisor = 3
 
+export interface BudgetLedgerOptions extends Omit<LedgerOptions, 'outage' | 'reporter' | 'predecessors'> {
+  /** Clocks of the VM at the start of this process. */
+  readonly startClock: ClockReading
+  readClocks (): ClockReading
+}
+
 export class BudgetLedger {
   readonly #options: LedgerOptions
+  readonly #reporter: HolderReporter
+  readonly #predecessors: Predecessors
+  #isStopped = false
   readonly #prepaid = new Map<string, number>()
   /** Ledgers of the organisations that sent requests to this router, or that have a lender. */
   readonly #ledgers = new Map<string, OrganisationLedger>()
   readonly #stopUpdates: Unsubscribe
   readonly #stopDiscovery: Unsubscribe
 
-  constructor (options: Omit<LedgerOptions, 'outage'>) {
-    this.#options = { ...options, outage: new StoreOutage(options.random) }
+  constructor (options: BudgetLedgerOptions) {
+    const { store, timers, log, nodeName, holder, startClock } = options
+    const outage = new StoreOutage(options.random)
+    this.#reporter = new HolderReporter({ store, timers, log, nodeName, holder, outage, readClocks: options.readClocks, lines: () => this.#releaseLines() })
+    this.#predecessors = new Predecessors({ store, timers, log, nodeName, holder, startClock, onLoaded: revision => { void this.#closePredecessors(revision) } })
+    this.#options = { ...options, outage, reporter: this.#reporter, predecessors: this.#predecessors }
     this.#stopUpdates = options.timers.every(updateIntervalMs, () => {
       for (const ledger of this.#ledgers.values()) ledger.update()
     })
@@ -96,16 +113,53 @@
     }
   }
 
+  #releaseLines (): Readonly<Record<string, ReleaseLine>> {
+    const lines: Record<string, ReleaseLine> = {}
+    for (const [organisation, ledger] of this.#ledgers) {
+      const line = ledger.releaseLine()
+      if (line !== undefined) lines[organisation] = line
+    }
+    return lines
+  }
+
+  /** Closes the grants of earlier processes of this VM, and then starts the reports of this one, which overwrite the last report of its predecessor. */
+  async #closePredecessors (reportRevision: number): Promise<void> {
+    while (!this.#isStopped && !await this.#tryClosePredecessors()) {
+      await new Promise<void>(resolve => { this.#options.timers.after(closeRetryMs, resolve) })
+    }
+    if (!this.#isStopped) this.#reporter.start(reportRevision)
+  }
+
+  async #tryClosePredecessors (): Promise<boolean> {
+    const result = await this.#options.store.list('budgets')
+    if (result.isErr()) return false
+    const closings: Array<Promise<boolean>> = []
+    for (const object of result.value.objects) {
+      const holders = Object.keys(ledgerSchema.safeParse(object.value).data?.holders ?? {})
+      if (!holders.some(holder => this.#predecessors.isPredecessor(holder))) continue
+      const ledger = this.#ledgerOf(object.name)
+      ledger.ledgerObject.initialise(object)
+      closings.push(ledger.closePredecessors())
+    }
+    return (await Promise.all(closings)).every(isClosed => isClosed)
+  }
+
   /** Returns all unspent tokens before the process ends. */
   async close (): Promise<void> {
-    this.#stopUpdates()
-    this.#stopDiscovery()
+    this.#stopBackground()
     await Promise.all([...this.#ledgers.values()].map(ledger => ledger.close()))
   }
 
   /** Stops the timers without returning tokens to the store. */
   stopTimers (): void {
+    this.#stopBackground()
+  }
+
+  #stopBackground (): void {
+    this.#isStopped = true
     this.#stopUpdates()
     this.#stopDiscovery()
+    this.#reporter.stop()
+    this.#predecessors.stop()
   }
 }
--- a/packages/gateway/src/node/budgetRefusal.ts
+++ b/packages/gateway/src/node/budgetRefusal.ts
@@ -14,6 +14,8 @@
   readonly others: OtherHolderTotals
   readonly slice: BudgetSlice
   readonly ledgerObject: LedgerObject
+  /** Time until tokens that this router already holds may be spent; `undefined` if it holds too few. */
+  readonly releaseMs: number | undefined
   /** Duration of the store outage so far; `undefined` while the store responds. */
   readonly outageMs: number | undefined
   readonly storeFailure: StoreFailure['kind'] | 'none'
@@ -31,6 +33,7 @@
     committedTokens: context.committedTokens,
     others,
     isLedgerCurrent: storeFailure === 'none' && object.revision !== undefined,
+    releaseMs: context.releaseMs,
     outageMs: context.outageMs,
     random: context.random
   })
@@ -45,6 +48,7 @@
     othersGrantedTokens: others.grantedTokens,
     othersCommittedTokens: others.committedTokens,
     grantedTokens: slice.grantedTokens,
+    unreleasedTokens: Math.round(slice.idleTokens - slice.availableTokens),
     committedTokens: slice.committedTokens,
     tokensPerS: Math.round(slice.ratePerMs(context.nowMs) * 1000),
     ledgerRevision: object.revision ?? null,
--- a/packages/gateway/src/node/crashTracker.ts
+++ b/packages/gateway/src/node/crashTracker.ts
@@ -23,6 +23,13 @@
   readonly body: Buffer | undefined
 }
 
+interface PublishedCrash {
+  readonly crashId: string
+  readonly contentHash: string
+}
+
+/** Limit of the crashes that are stored again after a restore of the store; the oldest are forgotten first. */
+const maxPublishedCrashes = 200
 /** Interval at which the crashes reported by other routers are listed. */
 const listIntervalMs = 2000
 /** Length of a content hash in hexadecimal digits. */
@@ -34,15 +41,20 @@
   readonly #interrupted = new InterruptedRuns()
   readonly #knownCrashes = new Set<string>()
   readonly #stopListing: Unsubscribe
+  /** Objects that this router has stored, by name. */
+  readonly #published = new Map<string, PublishedCrash>()
+  readonly #stopRestoreListener: Unsubscribe
   #isListing = false
 
   constructor (options: CrashTrackerOptions) {
     this.#options = options
+    this.#stopRestoreListener = options.store.onRestored(() => { void this.#publishAgain() })
     this.#stopListing = options.timers.every(listIntervalMs, () => { void this.#list() })
   }
 
   stop (): void {
     this.#stopListing()
+    this.#stopRestoreListener()
   }
 
   /** Whether several endpoints crashed while they were running this request. */
@@ -71,7 +83,15 @@
     this.#addEvidence(crashId, contentHash)
     this.#options.log.event('contentCrashedEndpoint', { crashId, contentHash, crashes: this.#evidence.countCrashes(contentHash) })
     // A failed write is not retried. Only this router then has the evidence of this crash. The next crash of the request is stored as a separate object.
-    await this.#options.store.create('crashes', `${contentHash}.${crashId}`, { crashId, contentHash })
+    const name = `${contentHash}.${crashId}`
+    this.#published.set(name, { crashId, contentHash })
+    if (this.#published.size > maxPublishedCrashes) this.#published.delete(this.#published.keys().next().value!)
+    await this.#options.store.create('crashes', name, { crashId, contentHash })
+  }
+
+  /** Stores the crashes again after the store was restored from a copy that may lack them. */
+  async #publishAgain (): Promise<void> {
+    for (const [name, crash] of this.#published) await this.#options.store.create('crashes', name, crash)
   }
 
   #addEvidence (crashId: string, contentHash: string): void {
--- a/packages/gateway/src/node/followFleet.ts
+++ b/packages/gateway/src/node/followFleet.ts
@@ -22,6 +22,8 @@
 /** Pause between two watch calls, in which endpoint changes are collected. It is well below the time for which a draining endpoint still serves requests. */
 const endpointBatchMs = 300
 const expiryCheckIntervalMs = 100
+/** Times after a restore of the store at which the endpoints are listed again: when live endpoints have written their entries again, and when the entries of the others have expired. */
+const relistDelaysMs: readonly number[] = [2500, 6000]
 
 export interface FleetFollowers {
   /** Whether the configuration and the endpoints were read at least once. */
@@ -34,6 +36,8 @@
   const loaded = { configuration: false, endpoints: false }
   /** Time of the first response of the store after its last outage. */
   let contactRegainedMs = -Infinity
+  /** Whether the store was restored from a copy while this router ran. */
+  let isStoreRestored = false
 
   /** Whether the store recovered from an outage only recently. Entries may then be missing because endpoints could not renew them. */
   function isAfterOutage (): boolean {
@@ -86,6 +90,10 @@
   const endpointListener: FollowerListener = {
     onObject: object => {
       const entry = state.dialect.decodeEndpoint(object)
+      if (entry !== undefined && state.directory.isSuperseded(entry, isStoreRestored)) {
+        log.event('endpointEntryIgnored', { endpoint: object.name, revision: object.revision, isSuperseded: true })
+        return
+      }
       if (entry !== undefined) {
         onDirectoryChange(state.directory.put(entry))
         return
@@ -107,12 +115,20 @@
     new StoreFollower({ kind: 'endpoints', store, timers, random, listener: endpointListener, waitMs: watchWaitMs, pauseMs: endpointBatchMs })
   ]
   for (const follower of followers) follower.start()
+  // Endpoints and operators write again what the restore lost. Entries that are ignored until then show no further event if only their heartbeat changes.
+  const stopRestoreListener = store.onRestored(() => {
+    isStoreRestored = true
+    contactRegainedMs = timers.monotonicMs()
+    log.event('storeRestored', { era: store.era() })
+    for (const delayMs of relistDelaysMs) timers.after(delayMs, () => { followers[1]!.relist() })
+  })
   const stopExpiring = timers.every(expiryCheckIntervalMs, () => {
     for (const change of state.directory.removeExpired(timers.monotonicMs())) onDirectoryChange(change)
   })
   return {
     isLoaded: () => loaded.endpoints && state.routeTable !== undefined,
     stop: () => {
+      stopRestoreListener()
       stopExpiring()
       for (const follower of followers) follower.stop()
     }
--- a/packages/gateway/src/node/ledgerObject.ts
+++ b/packages/gateway/src/node/ledgerObject.ts
@@ -1,6 +1,6 @@
 /** The ledger object of one organisation in the store, and its last state known to this router. */
 import type { Log, TimerService } from '@buckthorndrift/kernel'
-import { emptyLedger, ledgerSchema, type Ledger } from '@buckthorndrift/policy'
+import { emptyLedger, isSameLedger, ledgerSchema, mergeLedgers, type Ledger } from '@buckthorndrift/policy'
 import type { FleetStore, StoredObject, StoreFailure } from '../shared/store.ts'
 
 export interface LedgerObjectOptions {
@@ -12,6 +12,9 @@
   readonly onUpdate: () => void
 }
 
+/** Time within which routers that reach the store notice a restore and store their grants again. */
+const restoreSettleMs = 2500
+
 export class LedgerObject {
   readonly #options: LedgerObjectOptions
   #ledger: Ledger = emptyLedger
@@ -21,9 +24,32 @@
   #uncertainRevision: number | undefined
   #latestMs: number | undefined
   #refreshedMs: number | undefined
+  /** State known before the store was restored from a copy, until the merged state is stored. */
+  #beforeRestore: Ledger | undefined
+  #needsRepair = false
+  #restoredMs = -Infinity
 
   constructor (options: LedgerObjectOptions) {
     this.#options = options
+    options.store.onRestored(() => { this.#onRestored() })
+  }
+
+  /** Whether the store was restored and may lack grants that this router knows of. */
+  get needsRepair (): boolean {
+    return this.#needsRepair
+  }
+
+  /** Whether other routers may still have to store their grants again after a restore of the store. Until then no grant may grow. */
+  get isSettling (): boolean {
+    return this.#nowMs() - this.#restoredMs < restoreSettleMs
+  }
+
+  #onRestored (): void {
+    this.#restoredMs = this.#nowMs()
+    if (!this.hasState) return
+    this.#beforeRestore = this.#ledger
+    this.#needsRepair = true
+    this.#revision = undefined
   }
 
   get ledger (): Ledger {
@@ -91,6 +117,8 @@
       ? await store.create('budgets', organisation, value)
       : await store.replace('budgets', organisation, value, expected)
     if (result.isOk()) {
+      this.#beforeRestore = undefined
+      this.#needsRepair = false
       this.#applyLatest(result.value)
       return undefined
     }
@@ -116,7 +144,9 @@
       this.#revision = undefined
       return
     }
-    this.#ledger = parsed.data
+    this.#ledger = this.#beforeRestore === undefined ? parsed.data : mergeLedgers(this.#beforeRestore, parsed.data)
+    this.#needsRepair = this.#beforeRestore !== undefined && !isSameLedger(this.#ledger, parsed.data)
+    if (!this.#needsRepair) this.#beforeRestore = undefined
     this.#revision = object.revision
     if (this.#uncertainRevision !== object.revision) this.#uncertainRevision = undefined
     this.#options.onUpdate()
--- a/packages/gateway/src/node/ledgerOptions.ts
+++ b/packages/gateway/src/node/ledgerOptions.ts
@@ -2,7 +2,9 @@
 import type { Log, TimerService } from '@buckthorndrift/kernel'
 import type { FleetStore } from '../shared/store.ts'
 import type { StoreOutage } from '../shared/storeOutage.ts'
+import type { HolderReporter } from './holderReporter.ts'
 import type { LoanClient } from './loanClient.ts'
+import type { Predecessors } from './predecessors.ts'
 
 export interface LedgerOptions {
   readonly store: FleetStore
@@ -12,6 +14,8 @@
   readonly holder: string
   readonly nodeName: string
   readonly random: () => number
+  readonly reporter: Pick<HolderReporter, 'releaseLimit' | 'releaseDelayMs' | 'report'>
+  readonly predecessors: Pick<Predecessors, 'close'>
   /** Circuit breaker for the store, shared by all ledgers of the process. */
   readonly outage: StoreOutage
   /** Address at which this router accepts loan requests, and the client for its own loan requests. If `undefined`, this router borrows no tokens and writes the ledgers itself. */
--- a/packages/gateway/src/node/meteredStore.ts
+++ b/packages/gateway/src/node/meteredStore.ts
@@ -2,7 +2,7 @@
 import type { FleetStore, ObjectKind, StoreResult } from '../shared/store.ts'
 import type { GatewayMetrics } from './gatewayMetrics.ts'
 
-type Operation = keyof FleetStore
+type Operation = Exclude<keyof FleetStore, 'era' | 'onRestored'>
 
 export interface MeteredStore extends FleetStore {
   /** Time since the last response of the store, or since the start, in ms. */
@@ -23,6 +23,8 @@
   }
 
   return {
+    era: () => store.era(),
+    onRestored: listener => store.onRestored(listener),
     responseAgeMs: () => performance.now() - lastResponseMs,
     list: (kind, options) => measured('list', kind, store.list(kind, options)),
     watch: (kind, revision, waitMs) => measured('watch', kind, store.watch(kind, revision, waitMs)),
--- a/packages/gateway/src/node/organisationLedger.ts
+++ b/packages/gateway/src/node/organisationLedger.ts
@@ -1,25 +1,14 @@
 /** Budget of one organisation at this router: reserves tokens from the slice of this router, and keeps the slice up to date with the ledger object in the store. */
 import {
-  BudgetSlice,
-  isNearlyExhausted,
-  withheldTokens,
-  needsGrantUpdate,
-  sumOtherHolders,
-  planGrant,
-  countRouters,
-  unassignedShare,
-  unassignedTokens,
-  withClosedHolders,
-  withGrant,
-  withLender,
-  type GrantInput,
-  type LenderEntry
+  BudgetSlice, isNearlyExhausted, withheldTokens, needsGrantUpdate, sumOtherHolders, planGrant, countRouters, unassignedShare, unassignedTokens, type GrantInput, type LenderEntry, type ReleaseLine
 } from '@buckthorndrift/policy'
 import type { StoreFailure } from '../shared/store.ts'
 import type { LoanReply, LoanRequest, LoanVerdict } from '../shared/loans.ts'
 import { Borrowing } from './borrowing.ts'
 import { refuseWaiter } from './budgetRefusal.ts'
 import type { BudgetRequest, Reservation, Waiter } from './budgetRequest.ts'
+import { GrantRelease } from './grantRelease.ts'
+import { GrantWriter } from './grantWriter.ts'
 import { LedgerObject } from './ledgerObject.ts'
 import type { LedgerOptions } from './ledgerOptions.ts'
 import { Lending } from './lending.ts'
@@ -50,6 +39,8 @@
   #prepaidTokens: number
   readonly ledgerObject: LedgerObject
   readonly #lending: Lending
+  readonly #release: GrantRelease
+  readonly #writer: GrantWriter
   readonly #borrowing: Borrowing | undefined
   readonly #waiting = new WaitingRequests()
   #isUpdating = false
@@ -59,8 +50,16 @@
     this.#organisation = organisation
     this.#prepaidTokens = prepaidTokens
     this.#options = options
-    this.#slice = new BudgetSlice(this.#nowMs())
+    this.#slice = new BudgetSlice(this.#nowMs(), () => options.reporter.releaseLimit(organisation))
     this.ledgerObject = new LedgerObject({ organisation, store: options.store, timers: options.timers, log: options.log, onUpdate: () => { this.#applyGrant() } })
+    this.#release = new GrantRelease({
+      organisation,
+      slice: this.#slice,
+      reporter: options.reporter,
+      timers: options.timers,
+      tryReserve: request => this.#tryReserve(request),
+      refuse: waiter => { this.#refuse(waiter, 'unavailable') }
+    })
     this.#lending = new Lending({
       slice: this.#slice,
       isLender: () => this.#isLender,
@@ -68,6 +67,17 @@
       unassignedShare: () => unassignedShare(this.#grantInput()),
       nowMs: () => this.#nowMs()
     })
+    this.#writer = new GrantWriter({
+      organisation,
+      holder: options.holder,
+      log: options.log,
+      slice: this.#slice,
+      ledgerObject: this.ledgerObject,
+      predecessors: options.predecessors,
+      lentIdleTokens: () => this.#lending.idleTokens,
+      nextLender: current => this.#borrowing === undefined ? current : this.#borrowing.nextLender(current, this.#isClosing),
+      isNearlyExhausted: () => isNearlyExhausted(this.#grantInput())
+    })
     const { loans, holder } = options
     if (loans !== undefined) this.#borrowing = new Borrowing({ ...loans, organisation, holder, slice: this.#slice, log: options.log, nowMs: () => this.#nowMs() })
   }
@@ -93,9 +103,9 @@
     if (granted !== undefined) return granted
     return new Promise(resolve => {
       const waiter = { ...request, deadlineMs: this.#nowMs() + request.maxWaitMs, resolve }
-      // During an outage the store is probed at intervals anyway, so waiting would only delay the refusal.
+      // During an outage the store is probed at intervals anyway, so waiting for it would only delay the refusal.
       if (this.#isOutage && this.#lender() === undefined) {
-        this.#refuse(waiter, 'unavailable')
+        this.#release.serveWhenReleased(waiter)
         return
       }
       this.#waiting.add(waiter)
@@ -103,6 +113,12 @@
     })
   }
 
+  /** Whether the slice covers a waiting request, but another report has to release the tokens. */
+  get #isReleaseDue (): boolean {
+    const { idleTokens, availableTokens } = this.#slice
+    return !this.#isOutage && availableTokens < idleTokens && this.#waiting.hasFitting(idleTokens)
+  }
+
   /** Calls the store or the lender if the slice has to change. Only one update runs at a time. */
   update (): void {
     if (this.#isClosing || this.#isUpdating || !this.#isUpdateDue()) return
@@ -110,8 +126,8 @@
     void this.#reconcile().finally(() => { this.#isUpdating = false })
   }
 
-  async lend (request: LoanRequest): Promise<LoanReply> {
-    return await this.#lending.lend(request)
+  lend (request: LoanRequest): Promise<LoanReply> {
+    return this.#lending.lend(request)
   }
 
   /** Returns uncommitted tokens, so that other routers can spend them, and stops lending. */
@@ -123,7 +139,7 @@
       if (this.ledgerObject.revision === undefined && await this.ledgerObject.read() !== undefined) return
       const committedTokens = Math.ceil(this.#slice.ownCommittedTokens)
       const isDone = this.#slice.ownTokens <= committedTokens && !wasLender
-      if (isDone || await this.#write(committedTokens) === undefined) return
+      if (isDone || await this.#writer.write(committedTokens) === undefined) return
     }
   }
 
@@ -167,9 +183,10 @@
           await this.#borrow(lender)
           continue
         }
-        if (!this.#holdsIdleGrant) break
+        if (!this.#holdsIdleGrant && !this.ledgerObject.needsRepair) break
       }
-      const failure = lender === undefined ? await this.#callStore() : await this.#returnGrant()
+      if (lender === undefined && this.#isReleaseDue && await this.#options.reporter.report()) continue
+      const failure = lender === undefined || this.ledgerObject.needsRepair ? await this.#callStore() : await this.#returnGrant()
       if (failure === 'settled') break
       calls++
       const isAnswered = failure === undefined || failure.kind === 'conflict'
@@ -186,31 +203,19 @@
       backoffMs = Math.min(maxConflictBackoffMs, backoffMs * 2)
     }
     this.#serveWaiters()
-    if (this.#slice.grantedTokens !== grantedBefore) this.#logSlice(grantedBefore, calls)
+    if (this.#slice.grantedTokens !== grantedBefore) this.#writer.logChange(grantedBefore, unassignedTokens(this.#grantInput()), calls)
     for (const waiter of this.#waiting.takeAll()) this.#refuse(waiter, 'none')
   }
 
-  #logSlice (grantedBeforeTokens: number, calls: number): void {
-    const { grantedTokens, committedTokens } = this.#slice
-    this.#options.log.event('budgetSliceChanged', {
-      organisation: this.#organisation,
-      grantedBeforeTokens,
-      grantedTokens,
-      committedTokens,
-      unassignedTokens: unassignedTokens(this.#grantInput()),
-      ledgerRevision: this.ledgerObject.revision ?? null,
-      calls
-    })
-  }
-
   /** Makes the next call to the store; returns `settled` when none is needed. */
   async #callStore (): Promise<StoreFailure | undefined | 'settled'> {
     if (this.ledgerObject.revision === undefined) return await this.ledgerObject.read()
+    if (this.ledgerObject.needsRepair) return await this.#writer.write(this.#slice.ownTokens)
     const input = this.#grantInput()
-    const granted = planGrant(input)
+    const granted = this.ledgerObject.isSettling ? Math.min(this.#slice.ownTokens, planGrant(input)) : planGrant(input)
     if (needsGrantUpdate(input) && granted !== this.#slice.ownTokens) {
       // Other routers have probably changed a ledger that is older than `freshForMs`. A write would then conflict, which costs as much as a successful write.
-      return this.ledgerObject.refreshAgeMs > freshForMs ? await this.ledgerObject.refresh() : await this.#write(granted)
+      return this.ledgerObject.refreshAgeMs > freshForMs ? await this.ledgerObject.refresh() : await this.#writer.write(granted)
     }
     if (!this.#needsRefresh(input)) return 'settled'
     return this.#waiting.length > 0 ? await this.ledgerObject.read() : await this.ledgerObject.refresh()
@@ -228,6 +233,7 @@
 
   /** Whether a call to the store or the lender is needed and allowed now. */
   #isUpdateDue (): boolean {
+    if (this.ledgerObject.needsRepair && this.#options.outage.mayCall(this.#nowMs())) return true
     const lender = this.#lender()
     if (lender !== undefined) return this.#isLoanDue(lender) || (this.#holdsIdleGrant && this.#options.outage.mayCall(this.#nowMs()))
     const input = this.#grantInput()
@@ -244,24 +250,12 @@
       holderCount: countRouters(this.ledgerObject.ledger, this.#options.holder),
       isLender: this.#isLender,
       committedTokens,
-      grantedTokens: committedTokens + this.#slice.availableTokens,
+      grantedTokens: committedTokens + this.#slice.idleTokens,
       ratePerMs: this.#slice.ratePerMs(this.#nowMs()),
       waitingTokens: this.#waiting.fittingTokens(this.#prepaidTokens - others.grantedTokens - committedTokens, this.#prepaidTokens)
     }
   }
 
-  /** Writes a new grant of this router to the ledger. */
-  async #write (grantedTokens: number): Promise<StoreFailure | undefined> {
-    const { holder } = this.#options
-    const grant = { grantedTokens, committedTokens: this.#publishedTokens }
-    // Returned tokens must not be spent while the write is in flight.
-    if (grantedTokens < this.#slice.ownTokens) this.#slice.setOwnTokens(grantedTokens)
-    const ledger = withClosedHolders(this.ledgerObject.ledger, id => this.#isPreviousIncarnation(id))
-    const failure = await this.ledgerObject.write(withLender(withGrant(ledger, holder, grant), this.#borrowing === undefined ? ledger.lender : this.#borrowing.nextLender(ledger.lender, this.#isClosing)))
-    if (failure === undefined) this.#slice.setFilledTokens(isNearlyExhausted(this.#grantInput()) ? 0 : this.#slice.availableTokens)
-    return failure
-  }
-
   get #isLender (): boolean {
     return !this.#isClosing && this.ledgerObject.ledger.lender?.holder === this.#options.holder
   }
@@ -280,7 +274,7 @@
 
   async #returnGrant (): Promise<StoreFailure | undefined> {
     if (this.ledgerObject.revision === undefined) return await this.ledgerObject.read()
-    return await this.#write(Math.ceil(this.#slice.ownCommittedTokens))
+    return await this.#writer.write(Math.ceil(this.#slice.ownCommittedTokens))
   }
 
   #isLoanDue (lender: LenderEntry): boolean {
@@ -307,13 +301,14 @@
     else waiter.resolve(verdict)
   }
 
-  /** Tokens granted to this router that are spent or reserved. Lent tokens that the borrowers have not used are not included. */
-  get #publishedTokens (): number {
-    return Math.max(0, this.#slice.ownCommittedTokens - this.#lending.idleTokens)
+  /** Stores which tokens of earlier processes of this VM are free again. Returns whether nothing is left to store. */
+  closePredecessors (): Promise<boolean> {
+    return this.#writer.closePredecessors()
   }
 
-  #isPreviousIncarnation (holder: string): boolean {
-    return holder.startsWith(`${this.#options.nodeName}.`) && holder !== this.#options.holder
+  /** Line of the grant of this process for the next report. */
+  releaseLine (): ReleaseLine | undefined {
+    return this.#release.nextLine(this.#prepaidTokens, this.#waiting.fittingTokens(this.#slice.idleTokens, this.#prepaidTokens))
   }
 
   #applyGrant (): void {
@@ -333,10 +328,11 @@
       log,
       organisation: this.#organisation,
       prepaidTokens: this.#prepaidTokens,
-      committedTokens: this.#publishedTokens,
+      committedTokens: this.#writer.publishedTokens,
       others: sumOtherHolders(this.ledgerObject.ledger, holder),
       slice: this.#slice,
       ledgerObject: this.ledgerObject,
+      releaseMs: this.#release.delayMs(waiter.tokens),
       outageMs: outage.sinceMs === undefined ? undefined : this.#nowMs() - outage.sinceMs,
       storeFailure,
       nowMs: this.#nowMs(),
--- a/packages/gateway/src/node/runGateway.ts
+++ b/packages/gateway/src/node/runGateway.ts
@@ -4,6 +4,7 @@
 import type { Dialect } from '../shared/dialect.ts'
 import type { FleetStore } from '../shared/store.ts'
 import { createBufferedLog } from './bufferedLog.ts'
+import { readStartClocks } from './vmClocks.ts'
 import { startGateway, type Gateway } from './startGateway.ts'
 
 export interface GatewayOptions {
@@ -42,7 +43,7 @@
     }
   })
   try {
-    gateway = await startGateway({ deployment, dialect, store, timers: new SystemTimers(), log, random: Math.random, droppedLogLines: () => lines.droppedLines })
+    gateway = await startGateway({ deployment, dialect, store, timers: new SystemTimers(), log, random: Math.random, startClock: readStartClocks(), droppedLogLines: () => lines.droppedLines })
     if (isStopRequested) await gateway.stop()
   } catch (error) {
     process.stderr.write(`The gateway cannot start: ${error instanceof Error ? error.message : String(error)}\n`)
--- a/packages/gateway/src/node/startGateway.ts
+++ b/packages/gateway/src/node/startGateway.ts
@@ -4,7 +4,7 @@
 import type { AddressInfo } from 'node:net'
 import { performance } from 'node:perf_hooks'
 import type { Log, TimerService } from '@buckthorndrift/kernel'
-import { createHasher, OverloadGuard } from '@buckthorndrift/policy'
+import { createHasher, OverloadGuard, type ClockReading } from '@buckthorndrift/policy'
 import type { Address, Deployment } from '../shared/deployment.ts'
 import type { Dialect } from '../shared/dialect.ts'
 import { ElapsedClock } from '../shared/elapsedClock.ts'
@@ -20,6 +20,7 @@
 import { createLoanServer } from './loanServer.ts'
 import { LoopDelay } from './loopDelay.ts'
 import { meteredStore } from './meteredStore.ts'
+import { readVmClocks } from './vmClocks.ts'
 import { createMetricsServer, createReadinessServer } from './operationsServer.ts'
 
 export interface StartGatewayOptions {
@@ -30,6 +31,8 @@
   readonly log: Log
   /** Uniform in [0, 1). */
   readonly random: () => number
+  /** Clocks of the VM at the start of the process; read now if `undefined`. */
+  readonly startClock?: ClockReading
   /** Number of log lines that were dropped and not yet reported. */
   readonly droppedLogLines: () => number
 }
@@ -81,7 +84,7 @@
   const loanClient = createLoanClient()
   const { peers } = deployment
   const loans = peers === undefined ? undefined : { address: `${peers.host}:${await listen(loanServer, peers)}`, client: loanClient }
-  const ledger = new BudgetLedger({ store, timers, log, holder: `${deployment.nodeName}.${incarnation}`, nodeName: deployment.nodeName, random, loans })
+  const ledger = new BudgetLedger({ store, timers, log, holder: `${deployment.nodeName}.${incarnation}`, nodeName: deployment.nodeName, random, loans, startClock: options.startClock ?? readVmClocks(), readClocks: readVmClocks })
   const crashes = new CrashTracker({ store, timers, log })
   const guard = new OverloadGuard()
   const load = new LoadMeter({ linkMbps: deployment.linkMbps, processorCores: deployment.processorCores, timers, guard })
--- a/packages/gateway/src/node/storeFollower.ts
+++ b/packages/gateway/src/node/storeFollower.ts
@@ -32,6 +32,7 @@
   #revision: number | undefined
   #failures = 0
   #isStopped = false
+  #isRelistDue = false
   #wake: (() => void) | undefined
 
   constructor (options: FollowerOptions) {
@@ -47,12 +48,18 @@
     this.#wake?.()
   }
 
+  /** Lists all objects again after the current call. */
+  relist (): void {
+    this.#isRelistDue = true
+  }
+
   get isInContact (): boolean {
     return this.#failures === 0 && this.#revision !== undefined
   }
 
   async #run (): Promise<void> {
     while (!this.#isStopped) {
+      if (this.#isRelistDue) this.#revision = undefined
       const failure = this.#revision === undefined ? await this.#list() : await this.#watch(this.#revision)
       if (failure === undefined) {
         this.#noteContact()
@@ -67,6 +74,7 @@
     const { kind, store, listener } = this.#options
     const result = await store.list(kind)
     if (result.isErr()) return result.error
+    this.#isRelistDue = false
     this.#noteContact()
     for (const object of result.value.objects) listener.onObject(object)
     listener.onListed(new Set(result.value.objects.map(object => object.name)))
--- a/packages/gateway/src/node/waitingRequests.ts
+++ b/packages/gateway/src/node/waitingRequests.ts
@@ -29,6 +29,11 @@
     return expired
   }
 
+  /** Whether one of the requests needs at most `tokens`. */
+  hasFitting (tokens: number): boolean {
+    return this.#waiters.some(waiter => waiter.tokens <= tokens)
+  }
+
   /** Tries to reserve tokens for each request. Requests whose reservation succeeds are resolved; the others stay in the queue. */
   serveFitting (tryReserve: (request: BudgetRequest) => Reservation | undefined): void {
     for (const waiter of this.takeAll()) {
--- a/packages/gateway/src/shared/endpointDirectory.ts
+++ b/packages/gateway/src/shared/endpointDirectory.ts
@@ -9,8 +9,15 @@
 /** If the entry of a running endpoint expired during a store outage, the endpoint registers again within this time after the outage. */
 export const reregistrationWindowMs = 2100
 
-/** Limit of the remembered shutdown announcements; the oldest are forgotten first. */
-const maxLeavingEntries = 5000
+interface NewestEntry {
+  readonly startedAtMs: number | undefined
+  readonly sequence: number
+  /** Whether the endpoint drained, or its entry was removed. */
+  readonly isLeaving: boolean
+}
+
+/** Limit of the remembered entries of endpoints that left; the oldest are forgotten first. */
+const maxRememberedEntries = 5000
 
 /** Distinguishes the incarnations of an endpoint id. */
 function incarnationOf ({ address, startedAtMs }: EndpointEntry): string {
@@ -24,6 +31,8 @@
   readonly #byService = new Map<string, readonly EndpointEntry[]>()
   /** Incarnations that announced their shutdown in a response, by endpoint id. They stay listed here when their entry is removed, because an entry may come back. */
   readonly #leaving = new Map<string, string>()
+  /** The newest entry of each id, also of removed endpoints. */
+  readonly #newest = new Map<string, NewestEntry>()
 
   /** Endpoints of a service that accept new requests. */
   ready (service: string): readonly EndpointEntry[] {
@@ -48,7 +57,7 @@
     if (this.#isLeaving(endpoint)) return false
     this.#leaving.delete(endpoint.id)
     this.#leaving.set(endpoint.id, incarnationOf(endpoint))
-    if (this.#leaving.size > maxLeavingEntries) this.#leaving.delete(this.#leaving.keys().next().value!)
+    if (this.#leaving.size > maxRememberedEntries) this.#leaving.delete(this.#leaving.keys().next().value!)
     this.#byService.clear()
     return true
   }
@@ -57,8 +66,27 @@
     return this.#leaving.get(endpoint.id) === incarnationOf(endpoint)
   }
 
+  /**
+   * Whether a newer state of the endpoint is known. A store that was restored from a
+   * copy may list endpoints that have left since, until they or the store correct it.
+   */
+  isSuperseded (endpoint: EndpointEntry, isStoreRestored: boolean): boolean {
+    const newest = this.#newest.get(endpoint.id)
+    if (newest === undefined) return false
+    if (newest.startedAtMs !== undefined && endpoint.startedAtMs !== undefined && endpoint.startedAtMs < newest.startedAtMs) return true
+    const isSameIncarnation = newest.startedAtMs === endpoint.startedAtMs
+    return isStoreRestored && isSameIncarnation && newest.isLeaving && !endpoint.isDraining && endpoint.sequence <= newest.sequence
+  }
+
+  #remember ({ id, startedAtMs, sequence }: EndpointEntry, isLeaving: boolean): void {
+    this.#newest.delete(id)
+    this.#newest.set(id, { startedAtMs, sequence, isLeaving })
+    if (this.#newest.size > maxRememberedEntries) this.#newest.delete(this.#newest.keys().next().value!)
+  }
+
   put (endpoint: EndpointEntry): DirectoryChange | undefined {
     const previous = this.#endpoints.get(endpoint.id)
+    this.#remember(endpoint, endpoint.isDraining)
     this.#endpoints.set(endpoint.id, endpoint)
     this.#removeAtMs.delete(endpoint.id)
     this.#byService.clear()
@@ -71,6 +99,7 @@
   remove (id: string): DirectoryChange | undefined {
     const endpoint = this.#endpoints.get(id)
     if (endpoint === undefined) return undefined
+    this.#remember(endpoint, true)
     this.#endpoints.delete(id)
     this.#removeAtMs.delete(id)
     this.#byService.clear()
--- a/packages/gateway/src/shared/fleet.ts
+++ b/packages/gateway/src/shared/fleet.ts
@@ -83,6 +83,8 @@
   readonly isDraining: boolean
   /** Start of the endpoint process in ms since the Unix epoch; distinguishes incarnations with the same id. */
   readonly startedAtMs: number | undefined
+  /** Number of heartbeats of this incarnation when it wrote the entry. */
+  readonly sequence: number
 }
 
 /** An order to shift the traffic of a service to a version. */
--- a/packages/gateway/src/shared/store.ts
+++ b/packages/gateway/src/shared/store.ts
@@ -1,12 +1,13 @@
 /** Interface of the object store. */
+import type { Unsubscribe } from '@buckthorndrift/kernel'
 import type { Result } from 'ts-results-es'
 
 /** Kinds of objects that the gateway reads or writes. */
-export type ObjectKind = 'configuration' | 'endpoints' | 'rollouts' | 'budgets' | 'leases' | 'crashes'
+export type ObjectKind = 'configuration' | 'endpoints' | 'rollouts' | 'budgets' | 'holderReports' | 'leases' | 'crashes'
 
 export interface StoredObject {
   readonly name: string
-  /** Revision of the last change of this object. Revisions increase with each change of any object. */
+  /** Revision of the last change of this object. Revisions increase with each change of any object, also when the store was restored from a copy: they contain the era. */
   readonly revision: number
   readonly value: unknown
   readonly status: unknown
@@ -21,7 +22,7 @@
   /** The object changed since the expected revision; `object` is its present state, if the store sent it. */
   | { readonly kind: 'conflict', readonly object: StoredObject | undefined }
   | { readonly kind: 'notFound' }
-  /** The change history after the requested revision has been compacted. */
+  /** The change history after the requested revision has been compacted, or the store was restored from an older copy. */
   | { readonly kind: 'compacted' }
   | { readonly kind: 'rejected', readonly detail: string }
   /** The store did not respond, or responded that it is overloaded. */
@@ -41,6 +42,10 @@
 export type StoreResult<Value> = Promise<Result<Value, StoreFailure>>
 
 export interface FleetStore {
+  /** Number of times that the store was restored from a copy, as far as it says. A restore loses the changes since the copy was made. */
+  era (): number
+  /** Calls `listener` when a response shows that the store was restored from a copy. */
+  onRestored (listener: () => void): Unsubscribe
   /** All objects of a kind. With `mayBeStale` the result may be seconds old, and the call costs the store less. */
   list (kind: ObjectKind, options?: { readonly mayBeStale?: boolean }): StoreResult<ObjectPage>
   /** Changes after `revision`. Waits up to `waitMs` for the first one. */
--- a/packages/policy/src/shared/ledger/budgetSlice.ts
+++ b/packages/policy/src/shared/ledger/budgetSlice.ts
@@ -23,15 +23,19 @@
   #borrowedTokens = 0
   #spentTokens = 0
   #reservedTokens = 0
-  /** Available tokens when the slice was last filled. */
+  /** Idle tokens when the slice was last filled. */
   #filledTokens = 0
+  #largestRequestTokens = 0
   #ratePerMs = 0
   #rateUpdatedMs: number
   readonly #startedMs: number
+  readonly #releaseLimit: () => number
 
-  constructor (nowMs: number) {
+  /** `releaseLimit` returns the own tokens that may be committed now, see `ReleaseLine`. */
+  constructor (nowMs: number, releaseLimit: () => number = () => Infinity) {
     this.#rateUpdatedMs = nowMs
     this.#startedMs = nowMs
+    this.#releaseLimit = releaseLimit
   }
 
   get grantedTokens (): number {
@@ -52,12 +56,28 @@
     return this.#spentTokens + this.#reservedTokens
   }
 
-  get availableTokens (): number {
+  /** Granted tokens that are neither spent nor reserved. */
+  get idleTokens (): number {
     return this.grantedTokens - this.committedTokens
   }
 
+  /** Idle tokens that may be committed now. */
+  get availableTokens (): number {
+    return Math.min(this.#ownTokens, this.#releaseLimit()) + this.#borrowedTokens - this.committedTokens
+  }
+
+  /** Own tokens that are committed at least: all that exceed the borrowed ones. */
+  get minOwnCommittedTokens (): number {
+    return Math.max(0, this.committedTokens - this.#borrowedTokens)
+  }
+
+  /** Size of the largest request that was reserved. */
+  get largestRequestTokens (): number {
+    return this.#largestRequestTokens
+  }
+
   get isNearlySpent (): boolean {
-    return this.availableTokens <= this.#filledTokens * nearlySpentFillShare
+    return this.idleTokens <= this.#filledTokens * nearlySpentFillShare
   }
 
   /** Sets the tokens that the ledger grants. */
@@ -70,7 +90,7 @@
     this.#borrowedTokens = tokens
   }
 
-  /** Sets the available tokens after a refill; 0 when tokens are granted for each request separately. */
+  /** Sets the idle tokens after a refill; 0 when tokens are granted for each request separately. */
   setFilledTokens (tokens: number): void {
     this.#filledTokens = tokens
   }
@@ -82,8 +102,9 @@
    */
   tryReserve (tokens: number, rank: number, nowMs: number | undefined): boolean {
     const withheldShare = withheldShares[Math.min(rank, withheldShares.length - 1)] ?? 0
-    if (tokens > this.availableTokens - withheldShare * this.#filledTokens) return false
+    if (tokens > this.availableTokens || tokens > this.idleTokens - withheldShare * this.#filledTokens) return false
     this.#reservedTokens += tokens
+    this.#largestRequestTokens = Math.max(this.#largestRequestTokens, tokens)
     if (nowMs !== undefined) this.recordSpending(tokens, nowMs)
     return true
   }
--- a/packages/policy/src/shared/ledger/classifyRefusal.ts
+++ b/packages/policy/src/shared/ledger/classifyRefusal.ts
@@ -13,6 +13,8 @@
   readonly others: OtherHolderTotals
   /** Whether the ledger was read or written a short time ago, so that `others` is current. */
   readonly isLedgerCurrent: boolean
+  /** Time until tokens that this router already holds may be spent; `undefined` if it holds too few. */
+  readonly releaseMs?: number | undefined
   /** How long the store has been unavailable; `undefined` while it answers. */
   readonly outageMs: number | undefined
   /** Returns a random number that is uniformly distributed in [0, 1). */
@@ -49,7 +51,7 @@
  * last as long again as it has lasted so far. The random spread keeps callers
  * from retrying all at once.
  */
-function expectedReturnMs ({ outageMs, random }: RefusalInput): number {
-  const expectedMs = Math.min(maxRetryMs, Math.max(minRetryMs, outageMs ?? idleReturnMs))
+function expectedReturnMs ({ releaseMs, outageMs, random }: RefusalInput): number {
+  const expectedMs = releaseMs ?? Math.min(maxRetryMs, Math.max(minRetryMs, outageMs ?? idleReturnMs))
   return expectedMs * (0.75 + random() / 2)
 }
--- a/packages/policy/src/shared/ledger/ledgerValue.ts
+++ b/packages/policy/src/shared/ledger/ledgerValue.ts
@@ -33,6 +33,8 @@
 }))
 export type Ledger = z.infer<typeof ledgerSchema>
 
+const noGrant: Grant = { grantedTokens: 0, committedTokens: 0 }
+
 export const emptyLedger: Ledger = { holders: {} }
 
 /** Holder under which the grants of ended router processes are summed up; these tokens count as spent. */
@@ -75,19 +77,46 @@
   return { ...ledger, holders: { ...ledger.holders, [holder]: grant } }
 }
 
-/** Returns the ledger with the grants of ended holders added to `closedHolder`. Their unspent tokens are unknown, so the whole grants count as spent. */
-export function withClosedHolders (ledger: Ledger, isEnded: (holder: string) => boolean): Ledger {
+/** Returns the ledger with the grants of ended holders added to `closedHolder`. `close` returns what an ended holder may have spent of its grant, and `undefined` for a holder that has not ended. */
+export function withClosedHolders (ledger: Ledger, close: (holder: string, grant: Grant) => Grant | undefined): Ledger {
   const holders: Record<string, Grant> = {}
-  for (const [holder, grant] of Object.entries(ledger.holders)) {
-    const target = isEnded(holder) ? closedHolder : holder
-    const before = holders[target] ?? { grantedTokens: 0, committedTokens: 0 }
+  for (const [holder, open] of Object.entries(ledger.holders)) {
+    const closed = close(holder, open)
+    const target = closed === undefined ? holder : closedHolder
+    const grant = closed ?? open
+    const before = holders[target] ?? noGrant
     holders[target] = {
       grantedTokens: before.grantedTokens + grant.grantedTokens,
       committedTokens: before.committedTokens + grant.committedTokens
     }
   }
   const { lender } = ledger
-  return lender === undefined || isEnded(lender.holder) ? { holders } : { holders, lender }
+  const isLenderOpen = lender !== undefined && close(lender.holder, ledger.holders[lender.holder] ?? noGrant) === undefined
+  return isLenderOpen ? { holders, lender } : { holders }
+}
+
+/**
+ * Merges a ledger that was restored from an older copy with the state known before.
+ * Of each grant the larger one counts, because its holder may have spent it. Tokens
+ * that moved between two holders in the lost time may count twice, but never not at all.
+ */
+export function mergeLedgers (before: Ledger, restored: Ledger): Ledger {
+  const holders: Record<string, Grant> = { ...restored.holders }
+  for (const [holder, { grantedTokens, committedTokens }] of Object.entries(before.holders)) {
+    const other = holders[holder] ?? noGrant
+    holders[holder] = { grantedTokens: Math.max(grantedTokens, other.grantedTokens), committedTokens: Math.max(committedTokens, other.committedTokens) }
+  }
+  const lender = restored.lender ?? before.lender
+  return lender === undefined ? { holders } : { holders, lender }
+}
+
+/** Whether both ledgers have the same grants. */
+export function isSameLedger (a: Ledger, b: Ledger): boolean {
+  const entries = Object.entries(a.holders)
+  return entries.length === Object.keys(b.holders).length && entries.every(([holder, { grantedTokens, committedTokens }]) => {
+    const other = b.holders[holder]
+    return other?.grantedTokens === grantedTokens && other.committedTokens === committedTokens
+  })
 }
 
 /** Returns the ledger with the lender replaced, or removed. */
--- a/packages/policy/src/shared/ledger/planGrant.ts
+++ b/packages/policy/src/shared/ledger/planGrant.ts
@@ -25,7 +25,7 @@
  */
 const maxHorizonMs = 14_000
 /** `maxHorizonMs` for a lender. It is shorter because one slice that all routers share lasts longer than many small ones. */
-const lenderHorizonMs = 8000
+const lenderHorizonMs = 12_000
 const minHorizonMs = 400
 /** Unassigned share of the budget below which a router holds no tokens in advance. */
 const nearlyExhaustedShare = 0.06
@@ -33,6 +33,10 @@
 const lenderNearlyExhaustedShare = 0.01
 /** Unassigned share of the budget from which the maximum horizon applies. */
 const ampleShare = 0.6
+/** `ampleShare` for a lender. */
+const lenderAmpleShare = 0.15
+/** Share of the unassigned tokens that a lender may take at once. The rest lets another router replace it. */
+const lenderFreeShare = 0.75
 /** Share of an unused budget that the routers hold together before their spending rates are known. */
 const initialSlicesShare = 0.2
 /** Minimum number of routers by which `initialSlicesShare` is divided. */
@@ -40,6 +44,8 @@
 
 /** A slice is refilled below this share of its planned size, and the excess is returned above this multiple of it. */
 const refillShare = 0.4
+/** `refillShare` for a lender, which serves the whole fleet in a cut from the store. */
+const lenderRefillShare = 0.6
 const returnFactor = 3
 
 /**
@@ -70,8 +76,9 @@
 }
 
 /** Time of spending that a slice covers, interpolated by the unassigned share of the budget. */
-function horizonMs (share: number, maxMs: number): number {
-  const position = Math.min(1, Math.max(0, (share - nearlyExhaustedShare) / (ampleShare - nearlyExhaustedShare)))
+function horizonMs (share: number, isLender: boolean): number {
+  const [maxMs, ample, exhausted] = isLender ? [lenderHorizonMs, lenderAmpleShare, lenderNearlyExhaustedShare] : [maxHorizonMs, ampleShare, nearlyExhaustedShare]
+  const position = Math.min(1, Math.max(0, (share - exhausted) / (ample - exhausted)))
   return minHorizonMs + position * (maxMs - minHorizonMs)
 }
 
@@ -82,8 +89,8 @@
   if (isNearlyExhausted(input)) return input.committedTokens + waiting
   const share = unassignedShare(input)
   const initialTokens = input.prepaidTokens * initialSlicesShare / Math.max(minRouters, input.holderCount) * Math.max(0, share * 2 - 1)
-  const wanted = Math.max(input.ratePerMs * horizonMs(share, input.isLender ? lenderHorizonMs : maxHorizonMs), initialTokens, waiting)
-  const fairShare = Math.max(waiting, free / (input.holderCount + 1))
+  const wanted = Math.max(input.ratePerMs * horizonMs(share, input.isLender), initialTokens, waiting)
+  const fairShare = Math.max(waiting, input.isLender ? free * lenderFreeShare : free / (input.holderCount + 1))
   return Math.floor(input.committedTokens + Math.min(wanted, fairShare))
 }
 
@@ -93,5 +100,5 @@
   if (input.waitingTokens > available) return true
   const planned = planGrant(input) - input.committedTokens
   if (isNearlyExhausted(input)) return available > 0 && !input.isLender
-  return available < planned * refillShare || available > planned * returnFactor
+  return available < planned * (input.isLender ? lenderRefillShare : refillShare) || available > planned * returnFactor
 }
--- a/packages/policy/src/shared/ledger/planLoan.ts
+++ b/packages/policy/src/shared/ledger/planLoan.ts
@@ -9,7 +9,7 @@
  * Time of spending that a router borrows ahead. It is short because other routers
  * cannot use these tokens, and they are lost when the router is killed.
  */
-const prefetchMs = 2500
+const prefetchMs = 1200
 
 export interface PrefetchInput {
   /** Idle tokens that the borrower should hold. */
