--- a/packages/gateway/src/node/budgetLedger.ts
+++ b/packages/gateway/src/node/budgetLedger.ts
@@ -10,6 +10,7 @@
 import { StoreOutage } from '../shared/storeOutage.ts'
 import type { LoanReply, LoanRequest } from '../shared/loans.ts'
 import type { BudgetRequest, Reservation } from './budgetRequest.ts'
+import { ClockPeers } from './clockPeers.ts'
 import { HolderReporter } from './holderReporter.ts'
 import type { LedgerOptions } from './ledgerOptions.ts'
 import { OrganisationLedger } from './organisationLedger.ts'
@@ -36,6 +37,7 @@
   readonly #options: LedgerOptions
   readonly #reporter: HolderReporter
   readonly #predecessors: Predecessors
+  readonly #clockPeers: ClockPeers | undefined
   #isStopped = false
   readonly #prepaid = new Map<string, number>()
   /** Ledgers of the organisations that sent requests to this router, or that have a lender. */
@@ -46,9 +48,12 @@
   constructor (options: BudgetLedgerOptions) {
     const { store, timers, log, nodeName, holder, startClock } = options
     const outage = new StoreOutage(options.random)
-    this.#reporter = new HolderReporter({ store, timers, log, nodeName, holder, outage, readClocks: options.readClocks, lines: () => this.#releaseLines() })
-    this.#predecessors = new Predecessors({ store, timers, log, nodeName, holder, startClock, onLoaded: revision => { void this.#closePredecessors(revision) } })
-    this.#options = { ...options, outage, reporter: this.#reporter, predecessors: this.#predecessors }
+    const wallMs = (): number => options.readClocks().wallMs
+    this.#clockPeers = options.loans === undefined ? undefined : new ClockPeers({ address: options.loans.address, wallMs, monotonicMs: () => timers.monotonicMs() })
+    const loans = options.loans === undefined ? undefined : { ...options.loans, client: this.#clockPeers!.stamp(options.loans.client) }
+    this.#reporter = new HolderReporter({ store, timers, log, nodeName, holder, outage, readClocks: options.readClocks, peers: () => this.#clockPeers?.recent() ?? {}, lines: () => this.#releaseLines() })
+    this.#predecessors = new Predecessors({ store, timers, log, nodeName, holder, startClock, wallMs, onLoaded: revision => { void this.#closePredecessors(revision) } })
+    this.#options = { ...options, loans, outage, reporter: this.#reporter, predecessors: this.#predecessors }
     this.#stopUpdates = options.timers.every(updateIntervalMs, () => {
       for (const ledger of this.#ledgers.values()) ledger.update()
     })
@@ -76,7 +81,9 @@
 
   /** Lends tokens to another router, if the ledger names this one as the lender. */
   async lend (request: LoanRequest): Promise<LoanReply> {
-    return await this.#ledgers.get(request.organisation)?.lend(request) ?? { kind: 'notLender' }
+    this.#clockPeers?.recordBorrower(request.borrower, request.address, request.wallMs)
+    const reply = await this.#ledgers.get(request.organisation)?.lend(request) ?? { kind: 'notLender' }
+    return reply.kind === 'lent' ? { ...reply, lender: this.#options.holder, wallMs: this.#options.timers.nowMs() } : reply
   }
 
   /** Number of routers in the fleet, estimated from the ledgers. */
--- a/packages/gateway/src/node/holderReporter.ts
+++ b/packages/gateway/src/node/holderReporter.ts
@@ -4,7 +4,7 @@
  * process of this VM reads the report and returns what cannot have been spent.
  */
 import type { Log, TimerService, Unsubscribe } from '@buckthorndrift/kernel'
-import { releaseDelayMs, releasedTokens, type ClockReading, type HolderReport, type ReleaseLine } from '@buckthorndrift/policy'
+import { releaseDelayMs, releasedTokens, type ClockPeer, type ClockReading, type HolderReport, type ReleaseLine } from '@buckthorndrift/policy'
 import type { FleetStore } from '../shared/store.ts'
 import type { StoreOutage } from '../shared/storeOutage.ts'
 
@@ -17,6 +17,8 @@
   readonly holder: string
   readonly outage: StoreOutage
   readClocks (): ClockReading
+  /** Wall clocks of other VMs that were compared a short time ago. */
+  peers (): Readonly<Record<string, ClockPeer>>
   /** Lines of the grants of this process, by organisation. */
   lines (): Readonly<Record<string, ReleaseLine>>
 }
@@ -106,7 +108,7 @@
     if (!this.#isEnabled) return false
     if (this.#revision === undefined && !await this.#readRevision()) return false
     const expected = this.#revision!
-    const report: HolderReport = { holder, era: store.era(), clock: this.#options.readClocks(), lines: this.#options.lines() }
+    const report: HolderReport = { holder, era: store.era(), clock: this.#options.readClocks(), peers: this.#options.peers(), lines: this.#options.lines() }
     // From here on the report may be the state in the store.
     this.#possible = [...this.#possible, report]
     const result = expected === 0
--- a/packages/gateway/src/node/startGateway.ts
+++ b/packages/gateway/src/node/startGateway.ts
@@ -80,7 +80,7 @@
     droppedLogLines: options.droppedLogLines
   })
   const store = meteredStore(options.store, metrics)
-  const loanServer = createLoanServer(request => ledger.lend(request))
+  const loanServer = createLoanServer({ lend: request => ledger.lend(request), readClock: () => ({ node: deployment.nodeName, wallMs: timers.nowMs() }) })
   const loanClient = createLoanClient()
   const { peers } = deployment
   const loans = peers === undefined ? undefined : { address: `${peers.host}:${await listen(loanServer, peers)}`, client: loanClient }
--- a/packages/gateway/src/shared/loans.ts
+++ b/packages/gateway/src/shared/loans.ts
@@ -17,6 +17,10 @@
   ratePerMs: tokens,
   /** Requests that wait for tokens. */
   requests: z.array(z.object({ attemptId: z.string(), tokens, rank: z.int().check(z.nonnegative()) })),
+  /** Address at which the borrower accepts loan requests. */
+  address: z.optional(z.string()),
+  /** Wall clock of the borrower when it sent the message, in ms since the Unix epoch. */
+  wallMs: z.optional(z.number()),
   /** Longest time that the lender may wait for the store, in ms. */
   maxWaitMs: tokens
 }))
@@ -43,6 +47,10 @@
     plannedTokens: tokens,
     /** One verdict for each request, in the same order. */
     verdicts: z.array(verdictSchema),
+    /** Holder id of the lender. */
+    lender: z.optional(z.string()),
+    /** Wall clock of the lender when it sent the reply, in ms since the Unix epoch. */
+    wallMs: z.optional(z.number()),
     /** Routers that spend from this budget, as far as the lender knows. */
     routers: z.int()
   })
--- a/packages/policy/src/shared/ledger/__tests__/release.test.ts
+++ b/packages/policy/src/shared/ledger/__tests__/release.test.ts
@@ -1,6 +1,6 @@
 import fc from 'fast-check'
 import { describe, expect, it } from 'vitest'
-import { closeGrant, planReleaseLine, provenElapsedMs, releasedTokens, releaseDelayMs, type EndedHolderInput, type ReleaseInput } from '../index.ts'
+import { closeGrant, planReleaseLine, provenElapsedMs, releasedTokens, releaseDelayMs, witnessedElapsedMs, type EndedHolderInput, type ReleaseInput } from '../index.ts'
 
 const input: ReleaseInput = { prepaidTokens: 1_000_000, committedTokens: 200_000, ratePerMs: 20, largestRequestTokens: 5000, idleTokens: 300_000, waitingTokens: 0 }
 const line = planReleaseLine(input)
@@ -40,9 +40,36 @@
   })
 })
 
+describe('witnessedElapsedMs', () => {
+  const peers = { b: { address: 'b:1', offsetMs: 40 }, c: { address: 'c:1', offsetMs: -900 }, d: { address: 'd:1', offsetMs: 0 }, e: { address: 'e:1', offsetMs: 7 } }
+  const report = { holder: 'a.1', era: 1, clock: { monotonicMs: 1000, wallMs: 9_000_000 }, peers, lines: {} }
+  const same = { b: 45, c: -890, d: 3, e: 0 }
+
+  it('trusts the own wall clock after a power loss if it has kept its difference to most other VMs', () => {
+    expect(witnessedElapsedMs({ report, startWallMs: 9_002_000, offsetsMs: same })).toBeGreaterThanOrEqual(2000)
+    expect(witnessedElapsedMs({ report, startWallMs: 9_002_000, offsetsMs: { ...same, c: 1100 } })).toBeDefined()
+  })
+
+  it.each([
+    ['the own clock was set back, which changes all differences', { b: 2045, c: 1110, d: 2003, e: 2000 }],
+    ['half of the clocks were set with the own one', { ...same, b: 2045, c: 1110 }],
+    ['too few VMs respond', { b: 45, c: -890 }]
+  ])('proves nothing if %s', (_, offsetsMs) => {
+    expect(witnessedElapsedMs({ report, startWallMs: 9_002_000, offsetsMs })).toBeUndefined()
+  })
+
+  it('needs two other VMs that agree, and a clock that is not behind the report', () => {
+    const { b, c } = peers
+    expect(witnessedElapsedMs({ report: { ...report, peers: { b, c } }, startWallMs: 9_002_000, offsetsMs: same })).toBeDefined()
+    expect(witnessedElapsedMs({ report: { ...report, peers: { b, c } }, startWallMs: 9_002_000, offsetsMs: { b: 45 } })).toBeUndefined()
+    expect(witnessedElapsedMs({ report: { ...report, peers: { b } }, startWallMs: 9_002_000, offsetsMs: same })).toBeUndefined()
+    expect(witnessedElapsedMs({ report, startWallMs: 8_999_000, offsetsMs: same })).toBeUndefined()
+  })
+})
+
 describe('closeGrant', () => {
-  const report = { holder: 'a.1', era: 3, clock: { monotonicMs: 1000, wallMs: 9_000_000 }, lines: { firm: line } }
-  const ended: EndedHolderInput = { organisation: 'firm', holder: 'a.1', grant: { grantedTokens: 500_000, committedTokens: 150_000 }, report, startClock: { monotonicMs: 3000, wallMs: 9_002_000 }, era: 3 }
+  const report = { holder: 'a.1', era: 3, clock: { monotonicMs: 1000, wallMs: 9_000_000 }, peers: {}, lines: { firm: line } }
+  const ended: EndedHolderInput = { organisation: 'firm', holder: 'a.1', grant: { grantedTokens: 500_000, committedTokens: 150_000 }, report, elapsedMs: 2000, era: 3 }
 
   it('frees what the process cannot have spent by the start of its successor', () => {
     const closed = closeGrant(ended)
@@ -55,7 +82,7 @@
     ['the report is that of another process', { holder: 'a.0' }],
     ['the report has no line for the organisation', { organisation: 'other' }],
     ['the store was restored since, so that a later grant may be lost', { era: 4 }],
-    ['the clocks prove nothing', { startClock: { monotonicMs: 10, wallMs: 9_002_000 } }]
+    ['the time since the report is not proven', { elapsedMs: undefined }]
   ])('counts the whole grant as spent if %s', (_, change) => {
     expect(closeGrant({ ...ended, ...change })).toEqual(ended.grant)
   })
@@ -73,7 +100,7 @@
       for (const { waitMs, wish, report: outcome } of steps) {
         nowMs += waitMs
         if (outcome !== 'none') {
-          const next = { holder: 'a.1', era: 3, clock: { monotonicMs: nowMs, wallMs: nowMs }, lines: { firm: planReleaseLine({ ...input, committedTokens: committed, idleTokens: grant.grantedTokens - committed }) } }
+          const next = { holder: 'a.1', era: 3, clock: { monotonicMs: nowMs, wallMs: nowMs }, peers: {}, lines: { firm: planReleaseLine({ ...input, committedTokens: committed, idleTokens: grant.grantedTokens - committed }) } }
           if (outcome === 'answered') {
             stored = next
             possible = [next]
@@ -87,7 +114,7 @@
         committed = Math.min(Math.max(committed, limit()), committed + wish)
       }
       for (const seen of [stored, lateWrite]) {
-        const closed = closeGrant({ ...ended, grant, report: seen, startClock: { monotonicMs: nowMs + downMs, wallMs: nowMs + downMs } })
+        const closed = closeGrant({ ...ended, grant, report: seen, elapsedMs: seen === undefined ? undefined : nowMs + downMs - seen.clock.monotonicMs })
         expect(closed.grantedTokens).toBeGreaterThanOrEqual(Math.floor(committed))
       }
     }), { numRuns: 500 })
