--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -3,7 +3,7 @@
 export type { Address, Deployment } from './shared/deployment.ts'
 export type { Dialect, ForwardAttributes } from './shared/dialect.ts'
 export type {
-  CallerLimits, EndpointEntry, EngineProfile, FleetConfiguration, Organisation, RolloutOrder, Route, RouteKind, RouteTarget, Service
+  CallerLimits, EndpointEntry, EngineProfile, FleetConfiguration, Organisation, RolloutControl, RolloutOrder, Route, RouteKind, RouteTarget, Service
 } from './shared/fleet.ts'
 export type { FleetStore, ObjectEvent, ObjectKind, ObjectPage, StoredObject, StoreFailure, StoreResult, WatchPage } from './shared/store.ts'
 export { runGateway, type GatewayOptions } from './node/runGateway.ts'
--- a/packages/gateway/src/node/callRun.ts
+++ b/packages/gateway/src/node/callRun.ts
@@ -104,7 +104,7 @@
     this.#responseHead = undefined
     this.#eventSplitter.discardPartial()
     this.#triedIds.add(endpoint.entry.id)
-    this.#endpointAttempt = new EndpointAttempt(endpoint, { generation: attributes.generation, uncachedTokens, estimateMs, nowMs: this.#state.clock.nowMs() })
+    this.#endpointAttempt = new EndpointAttempt(endpoint, { generation: attributes.generation, uncachedTokens, estimateMs, nowMs: this.#state.clock.nowMs(), onOutcome: (isSuccess, latencyMs) => { this.#state.rollouts.recordOutcome(endpoint.entry, route.name, isSuccess, latencyMs) } })
     const resumeAfter = this.#eventSplitter.lastId ?? attributes.resumeAfter
     const headers = this.#state.dialect.forwardHeaders(request.rawHeaders, {
       remainingMs: Math.max(1, Math.floor(this.#remainingMs - responseMarginMs)),
@@ -141,12 +141,12 @@
     }, timeoutMs)
   }
 
-  /** Ends the accounting of the current attempt and returns its endpoint. */
-  #endAttempt (): TrackedEndpoint | undefined {
+  /** Ends the accounting of the current attempt and returns its endpoint. `isSuccess` is `undefined` if the outcome says nothing about the endpoint. */
+  #endAttempt (isSuccess?: boolean): TrackedEndpoint | undefined {
     const attempt = this.#endpointAttempt
     this.#endpointAttempt = undefined
     this.#exchange = undefined
-    attempt?.end()
+    attempt?.end(isSuccess, this.#state.clock.nowMs())
     return attempt?.endpoint
   }
 
@@ -209,7 +209,7 @@
     const isServerError = status >= 500
     const nowMs = this.#state.clock.nowMs()
     const sentMs = this.#endpointAttempt?.sentMs ?? nowMs
-    const endpoint = this.#endAttempt()
+    const endpoint = this.#endAttempt(!isServerError)
     this.#state.recordHealth(endpoint, isServerError ? 'failed' : 'served')
     if (!this.#isStream) endpoint?.recordResponseMs(nowMs - sentMs)
     if (isServerError && isRepeatable(this.#input.route) && !this.#callerResponse.hasStarted && this.#tryTakeRetry()) {
@@ -240,7 +240,7 @@
 
   #onFailure (failure: ExchangeFailure): void {
     if (this.#isDone) return
-    const endpoint = this.#endAttempt()
+    const endpoint = this.#endAttempt(failure.kind === 'notConnected' ? undefined : false)
     this.#lastDetail = failure.detail
     this.#callerResponse.discardBuffered()
     if (failure.kind === 'notConnected') {
@@ -292,7 +292,7 @@
   #onDeadline (): void {
     if (this.#isDone) return
     this.#exchange?.abort()
-    this.#state.recordHealth(this.#endAttempt(), 'failed')
+    this.#state.recordHealth(this.#endAttempt(false), 'failed')
     if (this.#wasSent) this.#verdict = mayHaveRun
     this.#fail('deadlineExceeded', 'the deadline passed before the response was complete')
   }
--- a/packages/gateway/src/node/endpointAttempt.ts
+++ b/packages/gateway/src/node/endpointAttempt.ts
@@ -9,6 +9,8 @@
   /** Expected time to the first token in ms. */
   readonly estimateMs: number
   readonly nowMs: number
+  /** Called at the end if the outcome says something about the endpoint. The latency is that of the first byte of a generation, and of the whole response of another call. */
+  readonly onOutcome: (isSuccess: boolean, latencyMs: number) => void
 }
 
 /** Prompts with more uncached tokens yield no latency sample. They take long to process, so their latency says little about the queue of the endpoint. */
@@ -26,7 +28,8 @@
   readonly #generation: Generation | undefined
   readonly #uncachedTokens: number
   #pendingTokens: number
-  #hasFirstByte = false
+  #firstByteMs: number | undefined
+  readonly #onOutcome: EndpointAttemptOptions['onOutcome']
   #isEnded = false
 
   constructor (endpoint: TrackedEndpoint, options: EndpointAttemptOptions) {
@@ -35,6 +38,7 @@
     this.estimateMs = options.estimateMs
     this.#generation = options.generation
     this.#uncachedTokens = options.uncachedTokens
+    this.#onOutcome = options.onOutcome
     this.#pendingTokens = options.uncachedTokens
     endpoint.running++
     endpoint.heldTokens += heldTokensOf(options.generation)
@@ -43,17 +47,20 @@
 
   /** Records the first byte of the response. By then the engine has read the prompt. */
   recordFirstByte (nowMs: number): void {
-    if (this.#hasFirstByte) return
-    this.#hasFirstByte = true
+    if (this.#firstByteMs !== undefined) return
+    this.#firstByteMs = nowMs
     this.#clearPending()
     if (this.#generation === undefined) return
     if (this.#uncachedTokens <= maxSampledPromptTokens) this.endpoint.recordExcessMs(nowMs - this.sentMs - this.estimateMs, nowMs)
     this.endpoint.prefixes.recordUse(this.#generation.prompt, nowMs)
   }
 
-  end (): void {
+  /** Ends the accounting. `isSuccess` is `undefined` if the attempt says nothing about the endpoint, for example because the caller disconnected. */
+  end (isSuccess: boolean | undefined, nowMs: number): void {
     if (this.#isEnded) return
     this.#isEnded = true
+    const answeredMs = this.#generation === undefined ? nowMs : this.#firstByteMs ?? nowMs
+    if (isSuccess !== undefined) this.#onOutcome(isSuccess, answeredMs - this.sentMs)
     this.#clearPending()
     this.endpoint.running--
     this.endpoint.heldTokens -= heldTokensOf(this.#generation)
--- a/packages/gateway/src/node/followFleet.ts
+++ b/packages/gateway/src/node/followFleet.ts
@@ -19,6 +19,8 @@
 /** Watches are shorter than `contactMs` by this time. It is enough to detect a silent connection and to call the store again within `contactMs`. */
 const silenceDetectionMs = 1000
 const minWatchMs = 1000
+/** Wait of a watch of rollouts while there is none. Each call counts, and orders are rare. */
+const idleRolloutWatchMs = 12_000
 /** Pause between two watch calls, in which endpoint changes are collected. It is well below the time for which a draining endpoint still serves requests. */
 const endpointBatchMs = 300
 const expiryCheckIntervalMs = 100
@@ -33,7 +35,7 @@
 
 export function followFleet (options: FollowFleetOptions): FleetFollowers {
   const { state, store, timers, log, random } = options
-  const loaded = { configuration: false, endpoints: false }
+  const loaded = { configuration: false, endpoints: false, rollouts: false }
   /** Time of the first response of the store after its last outage. */
   let contactRegainedMs = -Infinity
   /** Whether the store was restored from a copy while this router ran. */
@@ -109,10 +111,19 @@
     onContact: (isInContact, detail) => { onContactChange('endpoints', isInContact, detail) }
   }
 
+  const rolloutListener: FollowerListener = {
+    onObject: object => { state.rollouts.applyOrder(object) },
+    // The result of a removed order stays in force, because its endpoints may still be listed.
+    onRemoved: () => {},
+    onListed: () => { loaded.rollouts = true },
+    onContact: (isInContact, detail) => { onContactChange('rollouts', isInContact, detail) }
+  }
+
   const watchWaitMs = Math.max(minWatchMs, state.deployment.contactMs - silenceDetectionMs)
   const followers = [
-    new StoreFollower({ kind: 'configuration', store, timers, random, listener: configurationListener, waitMs: watchWaitMs, pauseMs: 0 }),
-    new StoreFollower({ kind: 'endpoints', store, timers, random, listener: endpointListener, waitMs: watchWaitMs, pauseMs: endpointBatchMs })
+    new StoreFollower({ kind: 'configuration', store, timers, random, listener: configurationListener, waitMs: () => watchWaitMs, pauseMs: 0 }),
+    new StoreFollower({ kind: 'endpoints', store, timers, random, listener: endpointListener, waitMs: () => watchWaitMs, pauseMs: endpointBatchMs }),
+    new StoreFollower({ kind: 'rollouts', store, timers, random, listener: rolloutListener, waitMs: () => state.rollouts.isRunning ? watchWaitMs : idleRolloutWatchMs, pauseMs: 0 })
   ]
   for (const follower of followers) follower.start()
   // Endpoints and operators write again what the restore lost. Entries that are ignored until then show no further event if only their heartbeat changes.
@@ -126,7 +137,7 @@
     for (const change of state.directory.removeExpired(timers.monotonicMs())) onDirectoryChange(change)
   })
   return {
-    isLoaded: () => loaded.endpoints && state.routeTable !== undefined,
+    isLoaded: () => loaded.endpoints && loaded.rollouts && state.routeTable !== undefined,
     stop: () => {
       stopRestoreListener()
       stopExpiring()
--- a/packages/gateway/src/node/gatewayState.ts
+++ b/packages/gateway/src/node/gatewayState.ts
@@ -13,6 +13,7 @@
 import type { CallInput } from './callInput.ts'
 import type { CallContent, CrashTracker } from './crashTracker.ts'
 import { TrackedEndpoints, type TrackedEndpoint } from './trackedEndpoints.ts'
+import type { Rollouts } from './rollouts.ts'
 import type { GatewayMetrics } from './gatewayMetrics.ts'
 import type { LoadMeter } from './loadMeter.ts'
 
@@ -53,6 +54,7 @@
   readonly crashes: CrashTracker
   readonly guard: OverloadGuard
   readonly load: LoadMeter
+  readonly rollouts: Rollouts
   readonly hasher: Hasher
   readonly random: () => number
 }
@@ -79,6 +81,7 @@
   readonly endpoints: TrackedEndpoints
   readonly guard: OverloadGuard
   readonly load: LoadMeter
+  readonly rollouts: Rollouts
   readonly #hasher: Hasher
   readonly #random: () => number
   readonly #retryQuotas = new Map<string, RetryQuota>()
@@ -96,6 +99,7 @@
     this.crashes = options.crashes
     this.guard = options.guard
     this.load = options.load
+    this.rollouts = options.rollouts
     this.endpoints = new TrackedEndpoints(socket => { this.load.track(socket) })
     this.#hasher = options.hasher
     this.#random = options.random
@@ -192,7 +196,8 @@
   /** Chooses an endpoint for the next attempt among those not tried yet; `undefined` when there is none. */
   place (input: CallInput, tried: ReadonlySet<string>): Placement | undefined {
     const nowMs = this.clock.nowMs()
-    const endpoints = this.#accepting(input.service.name, nowMs)
+    const { name } = input.service
+    const endpoints = this.rollouts.eligible(name, this.#accepting(name, nowMs), tried.size > 0)
     if (input.service.engine !== undefined && input.attributes.generation !== undefined) return this.#placeGeneration(input, endpoints, tried, nowMs)
     const candidates = endpoints.map(entry => this.endpoints.getOrCreate(entry, nowMs).callCandidate(this.deployment.failureDomain, nowMs))
     const id = placeCall(candidates, tried, this.#random)
--- /dev/null
+++ b/packages/gateway/src/node/peerServer.ts
@@ -0,0 +1,64 @@
+/** HTTP server for the messages of other routers: loan requests, clock comparisons and outcomes for rollouts. */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type * as z from 'zod/mini'
+import { loanRequestSchema, type LoanReply, type LoanRequest } from '../shared/loans.ts'
+import { outcomeReportSchema, type OutcomeReportMessage } from '../shared/outcomes.ts'
+import { clockPath, type ClockAnswer } from './clockPeers.ts'
+import { loansPath } from './loanClient.ts'
+import { outcomesPath } from './outcomeClient.ts'
+import { readBody } from './readBody.ts'
+
+const maxBodyBytes = 256 * 1024
+
+export interface PeerServerOptions {
+  lend (request: LoanRequest): Promise<LoanReply>
+  readClock (): ClockAnswer
+  /** Takes a report of outcomes. Returns false if this router does not control the rollout. */
+  receiveOutcomes (report: OutcomeReportMessage): boolean
+}
+
+function parse<Schema extends z.ZodMiniType> (schema: Schema, body: Buffer | undefined): z.infer<Schema> | undefined {
+  try {
+    return schema.safeParse(JSON.parse(String(body))).data
+  } catch {
+    return undefined
+  }
+}
+
+function sendJson (response: ServerResponse, body: LoanReply | ClockAnswer): void {
+  const source = JSON.stringify(body)
+  response.writeHead(200, { 'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(source) }).end(source)
+}
+
+function sendStatus (response: ServerResponse, status: number): void {
+  response.writeHead(status, { 'Content-Length': 0 }).end()
+}
+
+export function createPeerServer ({ lend, readClock, receiveOutcomes }: PeerServerOptions): Server {
+  async function handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const read = await readBody(request, maxBodyBytes)
+    if (read.kind === 'aborted') return
+    const body = read.kind === 'read' ? read.body : undefined
+    switch (request.url) {
+      case clockPath:
+        sendJson(response, readClock())
+        return
+      case outcomesPath: {
+        const report = parse(outcomeReportSchema, body)
+        sendStatus(response, report === undefined ? 400 : receiveOutcomes(report) ? 200 : 409)
+        return
+      }
+      case loansPath: {
+        const loan = parse(loanRequestSchema, body)
+        if (loan === undefined) sendStatus(response, 400)
+        else sendJson(response, await lend(loan))
+        return
+      }
+      default:
+        sendStatus(response, 404)
+    }
+  }
+  const server = createServer((request, response) => { void handle(request, response) })
+  server.on('connection', socket => { socket.on('error', () => { socket.destroy() }) })
+  return server
+}
--- a/packages/gateway/src/node/startGateway.ts
+++ b/packages/gateway/src/node/startGateway.ts
@@ -17,7 +17,9 @@
 import { GatewayState } from './gatewayState.ts'
 import { LoadMeter } from './loadMeter.ts'
 import { createLoanClient } from './loanClient.ts'
-import { createLoanServer } from './loanServer.ts'
+import { createOutcomeClient } from './outcomeClient.ts'
+import { createPeerServer } from './peerServer.ts'
+import { Rollouts } from './rollouts.ts'
 import { LoopDelay } from './loopDelay.ts'
 import { meteredStore } from './meteredStore.ts'
 import { readVmClocks } from './vmClocks.ts'
@@ -80,15 +82,32 @@
     droppedLogLines: options.droppedLogLines
   })
   const store = meteredStore(options.store, metrics)
-  const loanServer = createLoanServer({ lend: request => ledger.lend(request), readClock: () => ({ node: deployment.nodeName, wallMs: timers.nowMs() }) })
+  const peerServer = createPeerServer({
+    lend: request => ledger.lend(request),
+    readClock: () => ({ node: deployment.nodeName, wallMs: timers.nowMs() }),
+    receiveOutcomes: report => state.rollouts.receiveReport(report)
+  })
   const loanClient = createLoanClient()
   const { peers } = deployment
-  const loans = peers === undefined ? undefined : { address: `${peers.host}:${await listen(loanServer, peers)}`, client: loanClient }
-  const ledger = new BudgetLedger({ store, timers, log, holder: `${deployment.nodeName}.${incarnation}`, nodeName: deployment.nodeName, random, loans, startClock: options.startClock ?? readVmClocks(), readClocks: readVmClocks })
+  const loans = peers === undefined ? undefined : { address: `${peers.host}:${await listen(peerServer, peers)}`, client: loanClient }
+  const holder = `${deployment.nodeName}.${incarnation}`
+  const ledger = new BudgetLedger({ store, timers, log, holder, nodeName: deployment.nodeName, random, loans, startClock: options.startClock ?? readVmClocks(), readClocks: readVmClocks })
   const crashes = new CrashTracker({ store, timers, log })
   const guard = new OverloadGuard()
   const load = new LoadMeter({ linkMbps: deployment.linkMbps, processorCores: deployment.processorCores, timers, guard })
-  const state = new GatewayState({ deployment, dialect, clock, log, metrics, ledger, crashes, guard, load, hasher: await createHasher(), random })
+  const outcomeClient = createOutcomeClient()
+  const rollouts = new Rollouts({
+    store,
+    dialect,
+    timers,
+    log,
+    holder,
+    address: loans?.address,
+    client: outcomeClient,
+    random,
+    hasEndpoint: (service, version) => state.directory.ready(service).some(endpoint => endpoint.version === version)
+  })
+  const state: GatewayState = new GatewayState({ deployment, dialect, clock, log, metrics, ledger, crashes, guard, load, rollouts, hasher: await createHasher(), random })
   const callers = new CallerServer(state)
   const loopDelay = new LoopDelay({ timers, log, openRequests: () => state.openRequests })
   const followers = followFleet({
@@ -114,7 +133,7 @@
     return isReadyNow
   }
 
-  const servers = [callers.server, createReadinessServer(dialect.readyPath, isReady), loanServer]
+  const servers = [callers.server, createReadinessServer(dialect.readyPath, isReady), peerServer]
   const callersPort = await listen(servers[0]!, deployment.callers)
   const readinessPort = await listen(servers[1]!, deployment.readiness)
   if (deployment.metrics !== undefined) {
@@ -126,6 +145,7 @@
 
   function closeListeners (): void {
     void loanClient.close()
+    void outcomeClient.close()
     for (const server of servers) {
       server.close()
       server.closeAllConnections()
@@ -158,6 +178,7 @@
       log.event('gatewayStopping', { openRequests: state.openRequests })
       await waitForRequests(startedMs)
       followers.stop()
+      rollouts.stop()
       crashes.stop()
       loopDelay.stop()
       load.stop()
@@ -168,6 +189,7 @@
     },
     kill () {
       followers.stop()
+      rollouts.stop()
       crashes.stop()
       loopDelay.stop()
       load.stop()
--- a/packages/gateway/src/node/storeFollower.ts
+++ b/packages/gateway/src/node/storeFollower.ts
@@ -19,7 +19,7 @@
   readonly random: () => number
   readonly listener: FollowerListener
   /** Longest wait of one watch call. It bounds how long a silent connection goes undetected. */
-  readonly waitMs: number
+  waitMs (): number
   /** Pause after each response, so that one call returns a whole burst of changes. */
   readonly pauseMs: number
 }
@@ -85,7 +85,7 @@
   async #watch (revision: number): Promise<StoreFailure | undefined> {
     const { kind, store, listener, waitMs } = this.#options
     // The first call after a failure does not wait for changes, so that the recovery of the store is detected at once.
-    const result = await store.watch(kind, revision, this.#failures > 0 ? 0 : waitMs)
+    const result = await store.watch(kind, revision, this.#failures > 0 ? 0 : waitMs())
     if (result.isErr()) return result.error
     this.#noteContact()
     for (const event of result.value.events) {
--- a/packages/gateway/src/shared/dialect.ts
+++ b/packages/gateway/src/shared/dialect.ts
@@ -1,7 +1,7 @@
 /** Mapping between the gateway's types and the headers and stored objects of one deployment. */
 import type { IncomingHttpHeaders } from 'node:http'
 import type { CallAttributes, ResponseAttributes } from './call.ts'
-import type { EndpointEntry, FleetConfiguration, RolloutOrder } from './fleet.ts'
+import type { EndpointEntry, FleetConfiguration, RolloutControl, RolloutOrder } from './fleet.ts'
 import type { StoredObject } from './store.ts'
 
 /** Attributes of a request that the gateway sets itself when it forwards the request to an endpoint. */
@@ -27,7 +27,7 @@
   decodeConfiguration (object: StoredObject): FleetConfiguration | undefined
   decodeEndpoint (object: StoredObject): EndpointEntry | undefined
   decodeRollout (object: StoredObject): RolloutOrder | undefined
-  encodeRolloutStatus (target: string, state: 'running' | 'completed' | 'rolledBack'): unknown
+  encodeRolloutStatus (target: string, state: 'running' | 'completed' | 'rolledBack', control: RolloutControl | undefined): unknown
   /** Name of the object of kind `configuration`. */
   readonly configurationName: string
   /** HTTP path of the readiness check. */
--- a/packages/gateway/src/shared/fleet.ts
+++ b/packages/gateway/src/shared/fleet.ts
@@ -87,10 +87,24 @@
   readonly sequence: number
 }
 
+/** The router that controls a rollout. */
+export interface RolloutControl {
+  /** Holder id of the router process. */
+  readonly holder: string
+  /** Address at which it accepts outcomes of requests. */
+  readonly address: string | undefined
+  /** Increases with each change of the controller. */
+  readonly fencingToken: number
+  /** Start of the rollout by the wall clock of its first controller, in ms since the Unix epoch. */
+  readonly startedAtMs: number
+}
+
 /** An order to shift the traffic of a service to a version. */
 export interface RolloutOrder {
   readonly service: string
   readonly target: string
   readonly durationMs: number
   readonly state: 'ordered' | 'running' | 'completed' | 'rolledBack'
+  /** `undefined` until a router has claimed the order. */
+  readonly control: RolloutControl | undefined
 }
--- /dev/null
+++ b/packages/gateway/src/shared/outcomes.ts
@@ -0,0 +1,16 @@
+/** Messages with which routers report the outcomes of requests to the controller of a rollout. */
+import * as z from 'zod/mini'
+
+const count = z.int().check(z.nonnegative())
+
+export const outcomeReportSchema = z.readonly(z.object({
+  service: z.string(),
+  target: z.string(),
+  /** Holder id of the reporting process. */
+  routerId: z.string(),
+  /** Increases with each report of this process. */
+  interval: count,
+  /** Counts by version group and route. */
+  counts: z.array(z.object({ service: z.string(), version: z.string(), route: z.string(), completed: count, failed: count, latencyBuckets: z.array(count) }))
+}))
+export type OutcomeReportMessage = z.infer<typeof outcomeReportSchema>
--- a/packages/kernel/src/shared/events/gatewayEvents.ts
+++ b/packages/kernel/src/shared/events/gatewayEvents.ts
@@ -29,6 +29,7 @@
   requestFailed: { number: 1834, level: 'warn', message: 'request failed after it was sent to an endpoint', action: 'The field detail says what the endpoint or its connection did.' },
   requestAbandoned: { number: 1835, level: 'info', message: 'caller disconnected before the end of the response', action: 'none' },
   contentCrashedEndpoint: { number: 1836, level: 'warn', message: 'an endpoint crashed while it ran a request', action: 'Check the log of the endpoint. After two such crashes, requests with the same content are refused.' },
+  rolloutChanged: { number: 1850, level: 'info', message: 'a rollout was ordered, claimed by a controller, completed or rolled back', action: 'none' },
   eventLoopDelayed: { number: 1841, level: 'warn', message: 'the event loop was delayed', action: 'Check the load and the CPU share of the VM. During a delay, incoming requests wait up to longestMs before the process sees them.' },
   logLinesDropped: { number: 1840, level: 'warn', message: 'log lines were dropped because standard output was not read fast enough', action: 'Read standard output faster.' }
 } as const satisfies EventDefinitions
--- /dev/null
+++ b/packages/policy/src/shared/rollout/__tests__/timedRollout.test.ts
@@ -0,0 +1,64 @@
+import { describe, expect, it } from 'vitest'
+import { addInterval, decideTimedRollout, evaluationIntervalMs, latencyBucketCount, latencyBucketOf, newEvidence, timedTargetShare, type RolloutEvidence, type RouteCounts } from '../index.ts'
+
+const durationMs = 12_000
+
+function counts (completed: number, failed: number, latencyMs: number): RouteCounts {
+  const latencyBuckets = Array<number>(latencyBucketCount).fill(0)
+  latencyBuckets[latencyBucketOf(latencyMs)] = completed
+  return { completed, failed, latencyBuckets }
+}
+
+interface Fault {
+  readonly fromMs: number
+  readonly minShare: number
+  readonly failureShare: number
+  readonly slowdown: number
+}
+
+/** Plays a rollout at an even load. Returns how it ended, and which share of all requests the target got. */
+function play (requestsPerS: number, fault: Fault | undefined): { readonly end: string, readonly endMs: number, readonly exposure: number } {
+  let evidence: RolloutEvidence = newEvidence('v2')
+  let [targetRequests, elapsedMs] = [0, 0]
+  for (; elapsedMs <= durationMs; elapsedMs += evaluationIntervalMs) {
+    const share = timedTargetShare(elapsedMs, durationMs)
+    const requests = requestsPerS * evaluationIntervalMs / 1000
+    const atTarget = Math.round(requests * share)
+    targetRequests += atTarget
+    const isBad = fault !== undefined && elapsedMs >= fault.fromMs && share >= fault.minShare
+    const failed = isBad ? Math.round(atTarget * fault.failureShare) : 0
+    const target = { question: counts(atTarget - failed, failed, isBad ? 300 * fault.slowdown : 300) }
+    evidence = addInterval(evidence, { baseline: { question: counts(Math.round(requests - atTarget), 0, 300) }, target })
+    const decision = decideTimedRollout({ evidence, elapsedMs, durationMs, hasTargetEndpoint: true })
+    if (decision.kind !== 'continue') return { end: decision.kind, endMs: elapsedMs, exposure: targetRequests / (requestsPerS * durationMs / 1000) }
+  }
+  return { end: 'open', endMs: elapsedMs, exposure: targetRequests / (requestsPerS * durationMs / 1000) }
+}
+
+describe('a rollout with a deadline', () => {
+  it.each([36, 120, 400])('completes a good version before the deadline at %d requests/s', requestsPerS => {
+    const { end, endMs } = play(requestsPerS, undefined)
+    expect(end).toBe('complete')
+    expect(endMs).toBeLessThan(durationMs)
+    expect(endMs).toBeGreaterThan(durationMs * 0.8)
+  })
+
+  // The limits are those of the platform: at most a tenth of all requests and 50 more reach a bad version.
+  it.each([
+    ['fails half of its requests', { fromMs: 0, minShare: 0, failureShare: 0.5, slowdown: 1 }],
+    ['fails a quarter of its requests', { fromMs: 0, minShare: 0, failureShare: 0.25, slowdown: 1 }],
+    ['is eight times as slow', { fromMs: 0, minShare: 0, failureShare: 0, slowdown: 8 }],
+    ['fails from 3 s on', { fromMs: 3000, minShare: 0, failureShare: 0.5, slowdown: 1 }],
+    ['fails only under load', { fromMs: 0, minShare: 0.25, failureShare: 0.5, slowdown: 1 }]
+  ])('rolls back a version that %s, with little exposure', (_, fault) => {
+    for (const requestsPerS of [36, 120, 400]) {
+      const { end, exposure } = play(requestsPerS, fault)
+      expect(end).toBe('rollBack')
+      expect(exposure).toBeLessThan(0.1 + 50 / (requestsPerS * durationMs / 1000))
+    }
+  })
+
+  it('is not completed without an endpoint of the target', () => {
+    expect(decideTimedRollout({ evidence: newEvidence('v2'), elapsedMs: durationMs, durationMs, hasTargetEndpoint: false }).kind).toBe('continue')
+  })
+})
--- /dev/null
+++ b/packages/policy/src/shared/rollout/timedRollout.ts
@@ -0,0 +1,57 @@
+/** Decisions of a rollout that has to end by a set time: which share of the requests goes to the target version, and when the rollout ends. */
+import { findRollbackReason, type RolloutEvidence } from './rollout.ts'
+
+/** Interval at which outcomes are evaluated. Evidence grows by a limited amount in each, so the interval bounds how fast a fault under load is noticed. */
+export const evaluationIntervalMs = 300
+
+/** Share of the requests that the target gets from a part of the duration on. */
+interface Step {
+  readonly fromShareOfDuration: number
+  readonly targetShare: number
+}
+
+/**
+ * The target gets a small share for almost half of the time, in which most faults show,
+ * also those that begin late. The share then doubles, so that a fault that appears only
+ * under load is noticed before the target has all requests. The last part is left for
+ * requests that still run at the old version, because its endpoints stop when the
+ * rollout is completed.
+ */
+const steps: readonly Step[] = [
+  { fromShareOfDuration: 0.75, targetShare: 1 },
+  { fromShareOfDuration: 0.67, targetShare: 0.6 },
+  { fromShareOfDuration: 0.58, targetShare: 0.3 },
+  { fromShareOfDuration: 0.45, targetShare: 0.15 },
+  { fromShareOfDuration: 0, targetShare: 0.07 }
+]
+/** Part of the duration after which a rollout without a fault is completed; the rest is a margin for the store. */
+const completionShare = 0.92
+/** Requests that the target has to have answered, if there were any. */
+const minTargetRequests = 10
+
+export function timedTargetShare (elapsedMs: number, durationMs: number): number {
+  return steps.find(step => elapsedMs >= step.fromShareOfDuration * durationMs)?.targetShare ?? 0
+}
+
+export interface TimedRolloutInput {
+  readonly evidence: RolloutEvidence
+  readonly elapsedMs: number
+  readonly durationMs: number
+  /** Whether an endpoint of the target accepts requests. */
+  readonly hasTargetEndpoint: boolean
+}
+
+export type TimedRolloutDecision =
+  | { readonly kind: 'continue' }
+  | { readonly kind: 'complete' }
+  | { readonly kind: 'rollBack', readonly reason: string }
+
+export function decideTimedRollout ({ evidence, elapsedMs, durationMs, hasTargetEndpoint }: TimedRolloutInput): TimedRolloutDecision {
+  const reason = findRollbackReason(evidence)
+  if (reason !== undefined) return { kind: 'rollBack', reason }
+  const comparisons = Object.values(evidence.routes)
+  const targetRequests = comparisons.reduce((sum, route) => sum + route.targetRequests, 0)
+  const hasTraffic = comparisons.some(route => route.baseline.completed + route.baseline.failed > 0)
+  const isProven = targetRequests >= minTargetRequests || !hasTraffic
+  return elapsedMs >= completionShare * durationMs && hasTargetEndpoint && isProven ? { kind: 'complete' } : { kind: 'continue' }
+}
