--- a/packages/gateway/src/node/rollouts.ts
+++ b/packages/gateway/src/node/rollouts.ts
@@ -86,9 +86,11 @@
     }
     this.#active.set(order.service, rollout)
     this.#logOrder(rollout)
-    if (order.state === 'ordered') this.#options.timers.after(this.#options.random() * maxClaimDelayMs, () => {
-      if (rollout.order.control === undefined) void this.#claim(rollout)
-    })
+    if (order.state === 'ordered') {
+      this.#options.timers.after(this.#options.random() * maxClaimDelayMs, () => {
+        if (rollout.order.control === undefined) void this.#claim(rollout)
+      })
+    }
   }
 
   /** Endpoints that may get a request. */
