--- a/packages/gateway/src/node/callerServer.ts
+++ b/packages/gateway/src/node/callerServer.ts
@@ -1,5 +1,6 @@
 /** HTTP server for callers: reads and admits their requests. */
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import { createServer, STATUS_CODES, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { Duplex } from 'node:stream'
 import { notRun, type Failure, type FailureReason } from '@buckthorndrift/policy'
 import type { CallerLimits, Organisation, Route } from '../shared/fleet.ts'
 import type { RouteTable } from '../shared/routeTable.ts'
@@ -19,6 +20,10 @@
 /** Retry delay for callers that should retry at another router. */
 const retryElsewhereMs = 50
 
+const badRequestStatus = 400
+/** Statuses of requests that cannot be read, by the error code of Node.js. */
+const unreadableStatuses: Readonly<Record<string, number>> = { ERR_HTTP_REQUEST_TIMEOUT: 408, HPE_HEADER_OVERFLOW: 431, HPE_CHUNK_EXTENSIONS_OVERFLOW: 413 }
+
 type Admission =
   | { readonly kind: 'admitted', readonly route: Route, readonly organisation: Organisation | undefined, readonly table: RouteTable }
   | { readonly kind: 'refused', readonly failure: Failure }
@@ -30,6 +35,9 @@
 export class CallerServer {
   readonly server: Server
   readonly #state: GatewayState
+  /** Connections with a request that is not answered yet. */
+  readonly #answering = new WeakSet<Duplex>()
+  readonly #unreadable = new WeakSet<Duplex>()
   #stoppingSinceMs: number | undefined
 
   constructor (state: GatewayState) {
@@ -42,6 +50,7 @@
       keepAlive: true
     }, (request, response) => { void this.#handle(request, response) })
     this.server.requestTimeout = 0
+    this.server.on('clientError', (error, socket) => { this.#rejectUnreadable(error, socket) })
     this.server.on('connection', socket => {
       state.load.track(socket)
       socket.on('error', () => { socket.destroy() })
@@ -62,7 +71,11 @@
   async #handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
     const arrivedMs = this.#state.clock.nowMs()
     this.#state.openRequests++
-    response.on('close', () => { this.#state.openRequests-- })
+    this.#answering.add(request.socket)
+    response.on('close', () => {
+      this.#state.openRequests--
+      this.#answering.delete(request.socket)
+    })
     response.on('error', () => { response.destroy() })
     request.on('error', () => { response.destroy() })
     const earlyAdmission = this.#admit(request)
@@ -125,6 +138,18 @@
     await run.start()
   }
 
+  /** Answers a request that the HTTP parser gave up on, such as one whose headers take too long. Without this listener, Node.js answers it without a log line. */
+  #rejectUnreadable (error: NodeJS.ErrnoException, socket: Duplex): void {
+    // The parser may report several errors of one connection.
+    if (this.#unreadable.has(socket)) return
+    this.#unreadable.add(socket)
+    const status = unreadableStatuses[error.code ?? ''] ?? badRequestStatus
+    const isAnswerable = socket.writable && error.code !== 'ECONNRESET' && !this.#answering.has(socket)
+    this.#state.log.event('requestUnreadable', { cause: error.code ?? error.message, status: isAnswerable ? status : null })
+    if (!isAnswerable) socket.destroy()
+    else socket.end(`HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
+  }
+
   #admit (request: IncomingMessage): Admission {
     const { routeTable: table } = this.#state
     if (table === undefined) return refusal('noEndpoint', 'no configuration is known yet', this.#state.retryAfterMs())
--- a/packages/gateway/src/node/runGateway.ts
+++ b/packages/gateway/src/node/runGateway.ts
@@ -22,11 +22,11 @@
 export async function runGateway (options: GatewayOptions): Promise<void> {
   const { deployment, dialect, store, reloadDeployment } = options
   const { log, lines } = createBufferedLog(deployment.nodeName)
-  let gateway: Gateway | undefined
-  let isStopRequested = false
+  let started: Promise<Gateway> | undefined
 
   async function stop (): Promise<void> {
-    isStopRequested = true
+    // A stop during the start waits for it, because some listeners may already accept requests.
+    const gateway = await started?.catch(() => undefined)
     await gateway?.stop()
     lines.flush()
     setTimeout(() => { process.exit(0) }, logFlushMs)
@@ -43,8 +43,8 @@
     }
   })
   try {
-    gateway = await startGateway({ deployment, dialect, store, timers: new SystemTimers(), log, random: Math.random, startClock: readStartClocks(), droppedLogLines: () => lines.droppedLines })
-    if (isStopRequested) await gateway.stop()
+    started = startGateway({ deployment, dialect, store, timers: new SystemTimers(), log, random: Math.random, startClock: readStartClocks(), droppedLogLines: () => lines.droppedLines })
+    await started
   } catch (error) {
     process.stderr.write(`The gateway cannot start: ${error instanceof Error ? error.message : String(error)}\n`)
     // The process exits explicitly, because timers and connections of the components that did start would keep it running.
--- a/packages/kernel/src/shared/events/gatewayEvents.ts
+++ b/packages/kernel/src/shared/events/gatewayEvents.ts
@@ -28,6 +28,7 @@
   requestFinished: { number: 1833, level: 'info', message: 'request was answered', action: 'none' },
   requestFailed: { number: 1834, level: 'warn', message: 'request failed after it was sent to an endpoint', action: 'The field detail says what the endpoint or its connection did.' },
   requestAbandoned: { number: 1835, level: 'info', message: 'caller disconnected before the end of the response', action: 'none' },
+  requestUnreadable: { number: 1837, level: 'info', message: 'a request could not be read; its connection is closed', action: 'With cause ERR_HTTP_REQUEST_TIMEOUT the headers took longer than the limit of the configuration.' },
   contentCrashedEndpoint: { number: 1836, level: 'warn', message: 'an endpoint crashed while it ran a request', action: 'Check the log of the endpoint. After two such crashes, requests with the same content are refused.' },
   rolloutChanged: { number: 1850, level: 'info', message: 'a rollout was ordered, claimed by a controller, completed or rolled back', action: 'none' },
   eventLoopDelayed: { number: 1841, level: 'warn', message: 'the event loop was delayed', action: 'Check the load and the CPU share of the VM. During a delay, incoming requests wait up to longestMs before the process sees them.' },
