--- a/packages/gateway/src/node/budgetLedger.ts
+++ b/packages/gateway/src/node/budgetLedger.ts
@@ -51,7 +51,7 @@
     const wallMs = (): number => options.readClocks().wallMs
     this.#clockPeers = options.loans === undefined ? undefined : new ClockPeers({ address: options.loans.address, wallMs, monotonicMs: () => timers.monotonicMs() })
     const loans = options.loans === undefined ? undefined : { ...options.loans, client: this.#clockPeers!.stamp(options.loans.client) }
-    this.#reporter = new HolderReporter({ store, timers, log, nodeName, holder, outage, readClocks: options.readClocks, peers: () => this.#clockPeers?.recent() ?? {}, lines: () => this.#releaseLines() })
+    this.#reporter = new HolderReporter({ store, timers, log, nodeName, holder, outage, readClocks: options.readClocks, routerCount: () => this.routerCount(), peers: () => this.#clockPeers?.recent() ?? {}, lines: () => this.#releaseLines() })
     this.#predecessors = new Predecessors({ store, timers, log, nodeName, holder, startClock, wallMs, onLoaded: revision => { void this.#closePredecessors(revision) } })
     this.#options = { ...options, loans, outage, reporter: this.#reporter, predecessors: this.#predecessors }
     this.#stopUpdates = options.timers.every(updateIntervalMs, () => {
--- a/packages/gateway/src/node/holderReporter.ts
+++ b/packages/gateway/src/node/holderReporter.ts
@@ -17,14 +17,20 @@
   readonly holder: string
   readonly outage: StoreOutage
   readClocks (): ClockReading
+  /** Number of routers in the fleet. */
+  routerCount (): number
   /** Wall clocks of other VMs that were compared a short time ago. */
   peers (): Readonly<Record<string, ClockPeer>>
   /** Lines of the grants of this process, by organisation. */
   lines (): Readonly<Record<string, ReleaseLine>>
 }
 
-/** Interval of reports while grants are being spent. */
-const reportIntervalMs = 1000
+/** Interval of reports of a single router while grants are being spent. */
+const baseIntervalMs = 1000
+/** Number of routers at which the interval has doubled. The store takes few calls more for a larger fleet, while the tokens that a late report costs stay the same share of a budget. */
+const doublingRouters = 70
+const maxIntervalMs = 3000
+const checkIntervalMs = 250
 /** A report is made early when less than this share of the burst of a line is left. */
 const earlyReportShare = 0.25
 
@@ -34,6 +40,7 @@
   #possible: readonly HolderReport[] = []
   #revision: number | undefined
   #isEnabled = false
+  #reportedMs = -Infinity
   #isRestored = false
   #pending: Promise<boolean> | undefined
   #stopReporting: Unsubscribe | undefined
@@ -54,7 +61,7 @@
   start (revision: number): void {
     this.#revision = revision
     this.#isEnabled = true
-    this.#stopReporting = this.#options.timers.every(reportIntervalMs, () => { if (this.#isDue()) void this.report() })
+    this.#stopReporting = this.#options.timers.every(checkIntervalMs, () => { if (this.#isDue()) void this.report() })
   }
 
   stop (): void {
@@ -92,7 +99,9 @@
 
   /** Whether the state that the store may hold is too old or too low for what is being spent. */
   #isDue (): boolean {
-    const { outage, timers } = this.#options
+    const { outage, timers, routerCount } = this.#options
+    const intervalMs = Math.min(maxIntervalMs, baseIntervalMs * (1 + routerCount() / doublingRouters))
+    if (timers.monotonicMs() - this.#reportedMs < intervalMs) return false
     if (outage.sinceMs !== undefined && !outage.mayCall(timers.monotonicMs())) return false
     const last = this.#possible.at(-1)
     const lines = Object.entries(this.#options.lines())
@@ -109,6 +118,7 @@
     if (this.#revision === undefined && !await this.#readRevision()) return false
     const expected = this.#revision!
     const report: HolderReport = { holder, era: store.era(), clock: this.#options.readClocks(), peers: this.#options.peers(), lines: this.#options.lines() }
+    this.#reportedMs = timers.monotonicMs()
     // From here on the report may be the state in the store.
     this.#possible = [...this.#possible, report]
     const result = expected === 0
--- a/packages/gateway/src/node/predecessors.ts
+++ b/packages/gateway/src/node/predecessors.ts
@@ -97,7 +97,7 @@
   /** Compares the wall clock with those of the VMs in the report. VMs that lost power at the same time respond once their routers have started. */
   async #askWitnesses (): Promise<number | undefined> {
     const report = this.#report
-    if (report === undefined) return undefined
+    if (report === undefined || Object.keys(report.peers).length === 0) return undefined
     const { timers, wallMs, startClock } = this.#options
     const untilMs = timers.monotonicMs() + witnessTimeoutMs
     while (!this.#isStopped && timers.monotonicMs() < untilMs) {
