--- a/packages/gateway/src/node/borrowing.ts
+++ b/packages/gateway/src/node/borrowing.ts
@@ -106,11 +106,16 @@
     }
     // The lender may have been restarted: a new process at its address does not lend. The old one is recorded as ended, so that a new lender is found.
     if (result.value.kind === 'notLender') this.#recordFailure(lender, true, 'the router at this address does not lend tokens of this budget')
-    else this.#failingLender = undefined
+    else if (result.value.kind !== 'lent' || result.value.isStoreAway !== true) this.#failingLender = undefined
     if (result.value.kind === 'lent') this.#applyLoan(lender, result.value)
     return result.value
   }
 
+  /** Uses the store in place of a lender that cannot reach it. If that lasts, another router replaces the lender. */
+  passOver (lender: LenderEntry): void {
+    this.#recordFailure(lender, false, 'the lender cannot reach the store')
+  }
+
   /** Returns all idle tokens to the lender before the process of this router ends. */
   async returnAll (lender: LenderEntry): Promise<void> {
     this.#plannedTokens = 0
--- a/packages/gateway/src/node/holderReporter.ts
+++ b/packages/gateway/src/node/holderReporter.ts
@@ -31,9 +31,12 @@
 const doublingRouters = 70
 const maxIntervalMs = 3000
 const checkIntervalMs = 250
-/** A report is made early when less than this share of the burst of a line is left. */
+/** A report is due when this share of the burst of a line is committed. */
 const earlyReportShare = 0.25
 
+/** A report is due when an old line has released this many bursts more than is committed, because all of it counts as spent if the process is killed. */
+const maxSlackBursts = 4
+
 export class HolderReporter {
   readonly #options: HolderReporterOptions
   /** Reports of which one may be the state in the store: the last one with a response, and later ones without. */
@@ -99,7 +102,7 @@
 
   /** Whether the state that the store may hold is too old or too low for what is being spent. */
   #isDue (): boolean {
-    const { outage, timers, routerCount } = this.#options
+    const { outage, timers, routerCount, readClocks } = this.#options
     const intervalMs = Math.min(maxIntervalMs, baseIntervalMs * (1 + routerCount() / doublingRouters))
     if (timers.monotonicMs() - this.#reportedMs < intervalMs) return false
     if (outage.sinceMs !== undefined && !outage.mayCall(timers.monotonicMs())) return false
@@ -108,7 +111,8 @@
     if (last === undefined || this.#isRestored) return lines.length > 0
     return lines.some(([organisation, line]) => {
       const before = last.lines[organisation]
-      return before === undefined || line.committedTokens - before.committedTokens > before.burstTokens * earlyReportShare
+      if (before === undefined || line.committedTokens - before.committedTokens > before.burstTokens * earlyReportShare) return true
+      return releasedTokens(before, readClocks().monotonicMs - last.clock.monotonicMs) - line.committedTokens > line.burstTokens * maxSlackBursts
     })
   }
 
@@ -128,7 +132,7 @@
       this.#revision = result.value.revision
       this.#possible = [report]
       this.#isRestored = this.#isRestored && report.era !== store.era()
-      outage.recordResponse()
+      outage.recordResponse(timers.monotonicMs())
       return true
     }
     this.#revision = undefined
--- a/packages/gateway/src/node/lending.ts
+++ b/packages/gateway/src/node/lending.ts
@@ -11,6 +11,8 @@
   reserve (request: BudgetRequest): Promise<Reservation> | Reservation
   /** Share of the budget that is not granted to any router. */
   unassignedShare (): number
+  /** Whether the store does not respond to this router. */
+  isStoreAway (): boolean
   nowMs (): number
 }
 
@@ -46,7 +48,7 @@
     const verdicts = await Promise.all(request.requests.map(each => this.#lendFor(request, each)))
     const plannedTokens = isLender() ? plannedIdleTokens(this.#options.unassignedShare(), ratePerMs) : 0
     this.#prefetch(request, plannedTokens)
-    return { kind: 'lent', grantedTokens: this.#book.loanOf(borrower).grantedTokens, plannedTokens, verdicts, routers: this.#book.borrowerCount + 1 }
+    return { kind: 'lent', grantedTokens: this.#book.loanOf(borrower).grantedTokens, plannedTokens, verdicts, routers: this.#book.borrowerCount + 1, isStoreAway: this.#options.isStoreAway() }
   }
 
   async #lendFor ({ borrower, sequence, maxWaitMs }: LoanRequest, { attemptId, tokens, rank }: LoanRequest['requests'][number]): Promise<LoanVerdict> {
--- a/packages/gateway/src/node/organisationLedger.ts
+++ b/packages/gateway/src/node/organisationLedger.ts
@@ -65,6 +65,7 @@
       isLender: () => this.#isLender,
       reserve: request => this.reserve(request),
       unassignedShare: () => unassignedShare(this.#grantInput()),
+      isStoreAway: () => this.#isOutage,
       nowMs: () => this.#nowMs()
     })
     this.#writer = new GrantWriter({
@@ -190,7 +191,7 @@
       if (failure === 'settled') break
       calls++
       const isAnswered = failure === undefined || failure.kind === 'conflict'
-      if (isAnswered) this.#options.outage.recordResponse()
+      if (isAnswered) this.#options.outage.recordResponse(this.#nowMs())
       else this.#options.outage.recordFailure(this.#nowMs())
       if (failure === undefined) continue
       if (!isAnswered) {
@@ -199,7 +200,8 @@
         for (const waiter of refused) this.#refuse(waiter, failure.kind)
         if (this.#waiting.length === 0) return
       }
-      await this.#pause(backoffMs * (0.5 + this.#options.random()))
+      const pauseMs = backoffMs * (0.5 + this.#options.random())
+      await new Promise<void>(resolve => { this.#options.timers.after(pauseMs, resolve) })
       backoffMs = Math.min(maxConflictBackoffMs, backoffMs * 2)
     }
     this.#serveWaiters()
@@ -224,7 +226,10 @@
   /** Whether the known ledger is too old for a decision that depends on the grants of other routers. */
   #needsRefresh (input: GrantInput): boolean {
     if (this.#waiting.length > 0) return this.ledgerObject.ageMs > freshForMs
-    return this.ledgerObject.refreshAgeMs > staleAfterMs && unassignedShare(input) < scarceShare && this.#slice.availableTokens > 0
+    if (this.#slice.idleTokens <= 0) return false
+    // During an outage another router may have replaced a lender that it found without the store.
+    const isBeforeOutage = this.#nowMs() - this.ledgerObject.refreshAgeMs < this.#options.outage.endedMs
+    return isBeforeOutage || (this.ledgerObject.refreshAgeMs > staleAfterMs && (this.#isLender || unassignedShare(input) < scarceShare))
   }
 
   get #isOutage (): boolean {
@@ -285,7 +290,9 @@
     const waiters = this.#waiting.takeAll()
     const reply = await this.#borrowing!.requestLoan(lender, waiters)
     if (reply.kind === 'lent') {
-      waiters.forEach((waiter, index) => { this.#applyVerdict(waiter, reply.verdicts[index]) })
+      const mustPass = reply.isStoreAway === true && !this.#isOutage && reply.verdicts.some(({ kind }) => kind !== 'reserved')
+      if (mustPass) this.#borrowing!.passOver(lender)
+      waiters.forEach((waiter, index) => { this.#applyVerdict(waiter, reply.verdicts[index], mustPass) })
       return
     }
     this.#waiting.putBack(waiters)
@@ -293,11 +300,12 @@
     if (reply.kind === 'notLender') await this.ledgerObject.read()
   }
 
-  #applyVerdict (waiter: Waiter, verdict: LoanVerdict | undefined): void {
+  /** If `mustPass`, a request that the lender refuses waits for the store, which this router reaches and the lender does not. */
+  #applyVerdict (waiter: Waiter, verdict: LoanVerdict | undefined, mustPass: boolean): void {
     // The lender has already checked the rank, so the tokens are reserved as for the most urgent rank.
     const reservation = verdict?.kind === 'reserved' ? this.#tryReserve({ ...waiter, rank: 0 }) : undefined
     if (reservation !== undefined) waiter.resolve(reservation)
-    else if (verdict === undefined || verdict.kind === 'reserved') this.#waiting.add(waiter)
+    else if (verdict === undefined || verdict.kind === 'reserved' || mustPass) this.#waiting.add(waiter)
     else waiter.resolve(verdict)
   }
 
@@ -339,8 +347,4 @@
       random
     })
   }
-
-  #pause (durationMs: number): Promise<void> {
-    return new Promise(resolve => { this.#options.timers.after(durationMs, resolve) })
-  }
 }
--- a/packages/gateway/src/shared/__tests__/storeOutage.test.ts
+++ b/packages/gateway/src/shared/__tests__/storeOutage.test.ts
@@ -14,8 +14,11 @@
     expect(outage.mayCall(401)).toBe(false)
     outage.recordFailure(420)
     expect(outage.sinceMs).toBe(0)
-    outage.recordResponse()
+    outage.recordResponse(421)
     expect(outage.mayCall(421)).toBe(true)
+    expect(outage.endedMs).toBe(421)
+    outage.recordResponse(500)
+    expect(outage.endedMs).toBe(421)
   })
 })
 
--- a/packages/gateway/src/shared/loans.ts
+++ b/packages/gateway/src/shared/loans.ts
@@ -47,6 +47,8 @@
     plannedTokens: tokens,
     /** One verdict for each request, in the same order. */
     verdicts: z.array(verdictSchema),
+    /** Whether the store does not respond to the lender, so that it cannot enlarge its slice. */
+    isStoreAway: z.optional(z.boolean()),
     /** Holder id of the lender. */
     lender: z.optional(z.string()),
     /** Wall clock of the lender when it sent the reply, in ms since the Unix epoch. */
--- a/packages/gateway/src/shared/storeOutage.ts
+++ b/packages/gateway/src/shared/storeOutage.ts
@@ -12,6 +12,7 @@
   readonly #random: () => number
   #sinceMs: number | undefined
   #nextProbeMs = 0
+  #endedMs = -Infinity
 
   constructor (random: () => number) {
     this.#random = random
@@ -22,7 +23,13 @@
     return this.#sinceMs
   }
 
-  recordResponse (): void {
+  /** End of the last outage; `-Infinity` if there was none. What was read before it may be out of date. */
+  get endedMs (): number {
+    return this.#endedMs
+  }
+
+  recordResponse (nowMs: number): void {
+    if (this.#sinceMs !== undefined) this.#endedMs = nowMs
     this.#sinceMs = undefined
   }
 
