--- a/packages/coordination/src/shared/__tests__/lease.test.ts
+++ b/packages/coordination/src/shared/__tests__/lease.test.ts
@@ -122,6 +122,33 @@
     expect([second.fencingToken(), holderOf(objects).holder]).toEqual([2, 'b.1'])
   })
 
+  it.each([
+    ['removed', (objects: MemoryObjects) => { objects.entries.delete('leases/duty') }],
+    ['malformed', (objects: MemoryObjects) => { objects.entries.set('leases/duty', { text: '{}', version: 99 }) }]
+  ])('keeps its fencing token rising when its object is %s, so that orders of earlier holders stay stale', async (_, damage) => {
+    const timers = new ManualTimers()
+    const objects = new MemoryObjects()
+    const start = (holder: string): Lease => campaignForLease({
+      duty: 'duty', holder, store: new MemoryObjectStore({ timers, objects }), timers, log: silentLog, random: () => 0.5, isCandidate: () => true, tuning: defaultLeaseTuning
+    })
+    const advance = async (rounds: number): Promise<void> => {
+      for (let count = 0; count < rounds; count += 1) {
+        timers.advance(250)
+        await flush()
+      }
+    }
+    const first = start('a.1')
+    await advance(2)
+    expect(first.fencingToken()).toBe(1)
+    const second = start('b.1')
+    await settle(timers, first.release())
+    await advance(20)
+    expect(second.fencingToken()).toBe(2)
+    damage(objects)
+    await advance(60)
+    expect(second.fencingToken()).toBeGreaterThan(2)
+  })
+
   it('rejects a trustMs that is not below takeoverMs, which would allow two holders at once', () => {
     const timers = new ManualTimers()
     expect(() => campaignForLease({
--- a/packages/coordination/src/shared/lease.ts
+++ b/packages/coordination/src/shared/lease.ts
@@ -85,6 +85,8 @@
   #cancelNextRound: Unsubscribe | undefined
   #currentRound: Promise<void> = Promise.resolve()
   #isReleased = false
+  /** Highest fencing token seen. A lease object that is removed or malformed must not start again below it. */
+  #highestToken = 0
 
   constructor (options: LeaseOptions) {
     this.#options = options
@@ -131,6 +133,7 @@
     if (read?.isErr() === true) return
     const present = read === undefined ? known : read.unwrap()
     const value = leaseSchema.safeParse(present?.value).data
+    this.#highestToken = Math.max(this.#highestToken, value?.fencingToken ?? 0)
     const isOwn = value?.holder === this.#options.holder
     if (!isOwn) this.#markLost()
     const next = this.#nextValue(present, value)
@@ -139,7 +142,7 @@
 
   #nextValue (present: StoredObject | undefined, value: LeaseValue | undefined): LeaseValue | undefined {
     const { holder, tuning } = this.#options
-    if (present === undefined || value === undefined) return { holder, fencingToken: 1, renewal: 0 }
+    if (present === undefined || value === undefined) return { holder, fencingToken: this.#highestToken + 1, renewal: 0 }
     if (value.holder === holder) return { ...value, renewal: value.renewal + 1 }
     const takeover = { holder, fencingToken: value.fencingToken + 1, renewal: 0 }
     if (value.holder === '') return takeover
--- a/packages/kernel/src/shared/__tests__/kernel.test.ts
+++ b/packages/kernel/src/shared/__tests__/kernel.test.ts
@@ -31,6 +31,15 @@
       await Promise.all([kernel.stop(), kernel.stop()])
       expect(calls).toEqual(['drain b', 'drain a', 'close b', 'close a'])
     })
+
+    it('drains and closes the other plugins when one throws, so that their requests and sockets are not lost', async () => {
+      const calls: string[] = []
+      const sound = definePlugin({ name: 'sound', setup: () => ({ drain () { calls.push('drain') }, close () { calls.push('close') } }) })
+      const faulty = definePlugin({ name: 'faulty', setup: () => ({ drain () { throw new Error('drain failed') }, close () { throw new Error('close failed') } }) })
+      const kernel = await startKernel({ ...base, plugins: [sound, faulty] })
+      await expect(kernel.stop()).rejects.toThrow('plugins failed to stop')
+      expect(calls).toEqual(['drain', 'close'])
+    })
   })
 })
 
--- a/packages/kernel/src/shared/kernel.ts
+++ b/packages/kernel/src/shared/kernel.ts
@@ -14,7 +14,7 @@
 export interface Kernel {
   /** Returns the service that a plugin provided under `key`. Throws when there is none. */
   use<Service> (key: ServiceKey<Service>): Service
-  /** Shuts down gracefully: drains all plugins, then closes them. Later calls return the same promise. */
+  /** Shuts down gracefully: drains all plugins, then closes them. Rejects with an `AggregateError` if hooks threw, once all others have run. Later calls return the same promise. */
   stop (): Promise<void>
 }
 
@@ -42,16 +42,25 @@
     }
   }
 
-  async function closeAll (): Promise<void> {
-    for (const hooks of pluginHooks.toReversed()) await hooks.close?.()
+  /** Calls a hook of all plugins in reverse order. One that throws keeps no other from draining or closing. Returns the errors. */
+  async function runReversed (name: 'drain' | 'close'): Promise<readonly unknown[]> {
+    const errors: unknown[] = []
+    for (const hooks of pluginHooks.toReversed()) {
+      try {
+        await hooks[name]?.()
+      } catch (error) {
+        errors.push(error)
+      }
+    }
+    return errors
   }
 
   async function drainAndClose (): Promise<void> {
     options.log.event('processDraining')
-    for (const hooks of pluginHooks.toReversed()) await hooks.drain?.()
-    await closeAll()
+    const errors = [...await runReversed('drain'), ...await runReversed('close')]
     options.log.event('processStopped')
     await options.metrics.close()
+    if (errors.length > 0) throw new AggregateError(errors, 'plugins failed to stop')
   }
 
   try {
@@ -60,7 +69,7 @@
     }
     for (const hooks of pluginHooks) await hooks.ready?.()
   } catch (error) {
-    await closeAll()
+    await runReversed('close')
     throw error
   }
   options.log.event('processStarted')
