--- a/packages/protocol/src/shared/routerControl.ts
+++ b/packages/protocol/src/shared/routerControl.ts
@@ -53,19 +53,22 @@
 }).readonly()
 export type ExchangeOutput = z.infer<typeof exchangeOutput>
 
+/** Limit of the records or accounts in one message. */
+export const maxRecordsPerMessage = 5000
+
 /** Copies refusal accounts to another router. A higher count replaces a lower one of the same account. */
 export const replicateAccountsInput = z.object({
   /** Router that counts the accounts, as `<routerId>.<incarnation>`. */
   writer: z.string(),
   /** All accounts with a number below this one are stored in the platform; their copies can be dropped. */
   storedBelow: z.number().int().nonnegative(),
-  accounts: z.array(refusalAccountSchema).max(5000).readonly()
+  accounts: z.array(refusalAccountSchema).max(maxRecordsPerMessage).readonly()
 }).readonly()
 export type ReplicateAccountsInput = z.infer<typeof replicateAccountsInput>
 
 /** Hands billing records over to a router, which writes them to the platform. */
 export const handOverRecordsInput = z.object({
-  records: z.array(billingRecordSchema).max(5000).readonly()
+  records: z.array(billingRecordSchema).max(maxRecordsPerMessage).readonly()
 }).readonly()
 export type HandOverRecordsInput = z.infer<typeof handOverRecordsInput>
 
--- a/packages/router/src/node/records/recordsPlugin.ts
+++ b/packages/router/src/node/records/recordsPlugin.ts
@@ -5,6 +5,7 @@
 import { createEndpointClient, createRouterClient, type BillingRecord, type RefusalAccount } from '@buckthorndrift/protocol'
 import { budgetServiceKey, controlRegistryKey, recordServiceKey, type RecordService, type RefusalDetails } from '../../shared/services.ts'
 import { AccountReplicator } from './accountReplicator.ts'
+import { handOverRecords } from './handOver.ts'
 import { RecordWriter } from './recordWriter.ts'
 
 export interface RecordsPluginOptions {
@@ -95,8 +96,7 @@
     for (const peer of peers) {
       const client = createRouterClient({ url: peer.controlUrl, fleetSecret: options.fleetSecret, timeoutMs: options.controlTimeoutMs })
       try {
-        await client.records.handOver.mutate({ records: [...writer.billing.unstored] })
-        await client.records.replicateAccounts.mutate({ writer: writerId, storedBelow: 0, accounts: [...writer.refusals.unstored] })
+        await handOverRecords(client, writerId, { billing: [...writer.billing.unstored], refusals: [...writer.refusals.unstored] })
         return
       } catch {
         membership.noteUnreachable(peer.id)
