--- a/packages/gateway/src/node/organisationLedger.ts
+++ b/packages/gateway/src/node/organisationLedger.ts
@@ -340,7 +340,7 @@
       others: sumOtherHolders(this.ledgerObject.ledger, holder),
       slice: this.#slice,
       ledgerObject: this.ledgerObject,
-      releaseMs: this.#release.delayMs(waiter.tokens),
+      releaseMs: this.#isOutage ? this.#release.delayMs(waiter.tokens) : undefined, // Otherwise a report releases tokens at once.
       outageMs: outage.sinceMs === undefined ? undefined : this.#nowMs() - outage.sinceMs,
       storeFailure,
       nowMs: this.#nowMs(),
--- a/packages/policy/src/shared/ledger/__tests__/release.test.ts
+++ b/packages/policy/src/shared/ledger/__tests__/release.test.ts
@@ -1,6 +1,6 @@
 import fc from 'fast-check'
 import { describe, expect, it } from 'vitest'
-import { closeGrant, planReleaseLine, provenElapsedMs, releasedTokens, releaseDelayMs, witnessedElapsedMs, type EndedHolderInput, type ReleaseInput } from '../index.ts'
+import { classifyRefusal, closeGrant, planReleaseLine, provenElapsedMs, releasedTokens, releaseDelayMs, witnessedElapsedMs, type EndedHolderInput, type ReleaseInput } from '../index.ts'
 
 const input: ReleaseInput = { prepaidTokens: 1_000_000, committedTokens: 200_000, ratePerMs: 20, largestRequestTokens: 5000, idleTokens: 300_000, waitingTokens: 0 }
 const line = planReleaseLine(input)
@@ -25,6 +25,16 @@
   })
 })
 
+describe('the retry delay of a refusal', () => {
+  const refusal = { tokens: 100, rank: 1, prepaidTokens: 10_000, committedTokens: 0, others: { grantedTokens: 0, committedTokens: 0, lostTokens: 0 }, isLedgerCurrent: false, outageMs: 2000, random: () => 0.5 }
+
+  it('is the time until the line covers the request, but never so short that the caller comes back before anything has changed', () => {
+    expect(classifyRefusal({ ...refusal, releaseMs: 900 }).retryAfterMs).toBe(900)
+    expect(classifyRefusal({ ...refusal, releaseMs: 5 }).retryAfterMs).toBe(300)
+    expect(classifyRefusal({ ...refusal, releaseMs: undefined }).retryAfterMs).toBe(2000)
+  })
+})
+
 describe('provenElapsedMs', () => {
   const earlier = { monotonicMs: 50_000, wallMs: 1_700_000_000_000 }
 
--- a/packages/policy/src/shared/ledger/classifyRefusal.ts
+++ b/packages/policy/src/shared/ledger/classifyRefusal.ts
@@ -52,6 +52,6 @@
  * from retrying all at once.
  */
 function expectedReturnMs ({ releaseMs, outageMs, random }: RefusalInput): number {
-  const expectedMs = releaseMs ?? Math.min(maxRetryMs, Math.max(minRetryMs, outageMs ?? idleReturnMs))
+  const expectedMs = Math.min(maxRetryMs, Math.max(minRetryMs, releaseMs ?? outageMs ?? idleReturnMs))
   return expectedMs * (0.75 + random() / 2)
 }
