Log the request, its shared prompt parts and its progress with each crash of an endpoint

The log of the incident names a hash per crash. It does not tell whether requests that fail at each crash have a part of their prompts in common, so it cannot decide between evidence that is too narrow and evidence that is late.

--- a/packages/gateway/src/node/callInput.ts
+++ b/packages/gateway/src/node/callInput.ts
@@ -20,5 +20,7 @@
 
 /** Content by which the request is recognised when its caller sends it again. */
 export function contentOf ({ request, attributes, body }: CallInput): CallContent {
-  return { apiKey: attributes.apiKey, method: request.method ?? 'GET', path: request.url ?? '/', body }
+  // The last part of a prompt is unique to its request.
+  const sharedParts = (attributes.generation?.prompt ?? []).slice(0, -1).map(part => part.id)
+  return { attemptId: attributes.attemptId, sharedParts, apiKey: attributes.apiKey, method: request.method ?? 'GET', path: request.url ?? '/', body }
 }
--- a/packages/gateway/src/node/callRun.ts
+++ b/packages/gateway/src/node/callRun.ts
@@ -254,7 +254,7 @@
       else this.#fail('endpointLost', failure.detail)
       return
     }
-    if (failure.kind === 'broken') this.#state.recordInterrupted(endpoint, contentOf(this.#input))
+    if (failure.kind === 'broken') this.#state.recordInterrupted(endpoint, contentOf(this.#input), this.#eventSplitter.count)
     else this.#state.recordHealth(endpoint, 'failed')
     if (this.#responseHead === undefined) this.#executions++
     this.#responseHead = undefined
--- a/packages/gateway/src/node/crashTracker.ts
+++ b/packages/gateway/src/node/crashTracker.ts
@@ -5,7 +5,7 @@
 import { createHash } from 'node:crypto'
 import type { Log, TimerService, Unsubscribe } from '@buckthorndrift/kernel'
 import { CrashEvidence } from '@buckthorndrift/policy'
-import { InterruptedRuns } from '../shared/interruptedRuns.ts'
+import { InterruptedRuns, type InterruptedRun } from '../shared/interruptedRuns.ts'
 import type { EndpointEntry } from '../shared/fleet.ts'
 import type { FleetStore } from '../shared/store.ts'
 
@@ -17,6 +17,9 @@
 
 /** Content of a request. Its hash identifies the request when its caller sends it again. */
 export interface CallContent {
+  readonly attemptId: string | undefined
+  /** Ids of the parts of the prompt that other requests may share; empty for calls without a prompt. */
+  readonly sharedParts: readonly string[]
   readonly apiKey: string | undefined
   readonly method: string
   readonly path: string
@@ -63,15 +66,16 @@
   }
 
   /** Records that the connection of a request broke while the endpoint may have been running it. */
-  recordInterrupted (endpoint: EndpointEntry, content: CallContent): void {
-    this.#interrupted.add(endpoint.id, hashOf(content), this.#options.timers.monotonicMs())
+  recordInterrupted (endpoint: EndpointEntry, content: CallContent, events: number): void {
+    this.#interrupted.add(endpoint.id, { attemptId: content.attemptId ?? '', contentHash: hashOf(content), sharedParts: content.sharedParts, events, atMs: this.#options.timers.monotonicMs() })
   }
 
   /** Called when an endpoint is down or was replaced by a new incarnation. Reports a crash for each request that this endpoint was running when its connection broke shortly before. */
   recordEndpointDown (endpoint: EndpointEntry): void {
     if (this.#interrupted.isEmpty) return
     const crashId = `${endpoint.id}.${endpoint.startedAtMs ?? 0}`
-    for (const contentHash of this.#interrupted.takeSuspects(endpoint.id, this.#options.timers.monotonicMs())) void this.#publish(crashId, contentHash)
+    const runs = this.#interrupted.take(endpoint.id, this.#options.timers.monotonicMs())
+    for (const run of new Map(runs.map(run => [run.contentHash, run])).values()) void this.#publish(crashId, run)
   }
 
   /** Clears the evidence against a request that completed, since it does not crash endpoints. */
@@ -79,9 +83,9 @@
     if (this.#knownCrashes.size > 0) this.#evidence.clear(hashOf(content))
   }
 
-  async #publish (crashId: string, contentHash: string): Promise<void> {
+  async #publish (crashId: string, { contentHash, attemptId, sharedParts, events }: InterruptedRun): Promise<void> {
     this.#addEvidence(crashId, contentHash)
-    this.#options.log.event('contentCrashedEndpoint', { crashId, contentHash, crashes: this.#evidence.countCrashes(contentHash) })
+    this.#options.log.event('contentCrashedEndpoint', { crashId, attemptId, contentHash, sharedParts: sharedParts.join(' '), events, crashes: this.#evidence.countCrashes(contentHash) })
     // A failed write is not retried. Only this router then has the evidence of this crash. The next crash of the request is stored as a separate object.
     const name = `${contentHash}.${crashId}`
     this.#published.set(name, { crashId, contentHash })
--- a/packages/gateway/src/node/gatewayState.ts
+++ b/packages/gateway/src/node/gatewayState.ts
@@ -184,10 +184,10 @@
   }
 
   /** Records that a connection broke while the endpoint may have been running a request, and probes whether the endpoint crashed. */
-  recordInterrupted (endpoint: TrackedEndpoint | undefined, content: CallContent): void {
+  recordInterrupted (endpoint: TrackedEndpoint | undefined, content: CallContent, events: number): void {
     if (endpoint === undefined) return
     this.recordHealth(endpoint, 'failed')
-    this.crashes.recordInterrupted(endpoint.entry, content)
+    this.crashes.recordInterrupted(endpoint.entry, content, events)
     void endpoint.connections.probeListening().then(isListening => {
       if (!isListening) this.recordHealth(endpoint, 'down')
     })
--- a/packages/gateway/src/shared/interruptedRuns.ts
+++ b/packages/gateway/src/shared/interruptedRuns.ts
@@ -1,7 +1,13 @@
 /** Requests that endpoints were running when the connection broke. They are kept until it is known whether the endpoint crashed. */
 
-interface InterruptedRun {
+/** A run of a request whose connection broke. */
+export interface InterruptedRun {
+  readonly attemptId: string
   readonly contentHash: string
+  /** Ids of the parts of the prompt that other requests may share. */
+  readonly sharedParts: readonly string[]
+  /** Events that the endpoint had sent. */
+  readonly events: number
   readonly atMs: number
 }
 
@@ -17,17 +23,17 @@
     return this.#runs.size === 0
   }
 
-  add (endpointId: string, contentHash: string, nowMs: number): void {
-    const runs = this.#recent(endpointId, nowMs)
-    runs.push({ contentHash, atMs: nowMs })
+  add (endpointId: string, run: InterruptedRun): void {
+    const runs = this.#recent(endpointId, run.atMs)
+    runs.push(run)
     this.#runs.set(endpointId, runs.slice(-maxRunsPerEndpoint))
   }
 
-  /** Removes all runs of a crashed endpoint, and returns the content hashes of those interrupted within `crashDetectionWindowMs`. */
-  takeSuspects (endpointId: string, nowMs: number): readonly string[] {
+  /** Removes all runs of a crashed endpoint, and returns those interrupted within `crashDetectionWindowMs`. */
+  take (endpointId: string, nowMs: number): readonly InterruptedRun[] {
     const runs = this.#recent(endpointId, nowMs)
     this.#runs.delete(endpointId)
-    return [...new Set(runs.map(run => run.contentHash))]
+    return runs
   }
 
   #recent (endpointId: string, nowMs: number): InterruptedRun[] {
