Refuse requests with a part of their prompt that crashes endpoints

Callers saw 502 on one request after the other, and all callers of a model endpoint lost their streams each time one of these reached it.

Cause: the evidence of a crash named a request by a hash of its key, method, path and whole body. Requests that share only a part of their prompts got a new hash each time, so no number of crashes led to a refusal. The class of fault: evidence is keyed by what identifies one request instead of by what requests have in common.

Change: CrashSuspects (policy) counts crashes for each shared part of a prompt and for each content. A part with three crashes and no sound run in between is suspected, and requests with it are refused with 422 before anything is reserved, also before a retry. A sound run is a complete response, or a stream that goes on for a second; streams that ran so long are no longer blamed for a crash. Parts that stood together at all crashes are alternatives, so a request that has only one of them is run, and its end tells which is the cause. Clearances are stored, so that a router that never ran a part does not refuse it. The evidence of a crash is one object per router instead of one per request, and is followed by a watch, which waits 12 s while nothing happens.

--- a/packages/gateway/src/node/callBudget.ts
+++ b/packages/gateway/src/node/callBudget.ts
@@ -1,9 +1,23 @@
 /** Reservation of one request in the budget of its organisation. */
+import { notRun, type Failure } from '@buckthorndrift/policy'
 import type { CallAttributes } from '../shared/call.ts'
 import type { Organisation, Route } from '../shared/fleet.ts'
 import type { BudgetLedger } from './budgetLedger.ts'
 import type { Reservation } from './budgetRequest.ts'
 
+/** Refusal that follows from a reservation; `undefined` if the request may run. */
+export function failureOf (reservation: Reservation | undefined): Failure | undefined {
+  switch (reservation?.kind) {
+    case undefined:
+    case 'reserved':
+      return undefined
+    case 'exhausted':
+      return { verdict: notRun, reason: 'budgetExhausted', detail: 'the rest of the budget does not cover the request at its largest size' }
+    case 'unavailable':
+      return { verdict: notRun, reason: 'budgetUnavailable', detail: 'no tokens of the budget are free at the moment', retryAfterMs: reservation.retryAfterMs }
+  }
+}
+
 export class CallBudget {
   #reservation: Extract<Reservation, { kind: 'reserved' }> | undefined
   #isSettled = false
--- a/packages/gateway/src/node/callRun.ts
+++ b/packages/gateway/src/node/callRun.ts
@@ -5,8 +5,9 @@
 import type { Route } from '../shared/fleet.ts'
 import { ResponseTimings } from '../shared/responseTimings.ts'
 import { sendFailure } from './sendFailure.ts'
-import { contentOf, type CallInput } from './callInput.ts'
-import { CallBudget } from './callBudget.ts'
+import type { CallInput } from './callInput.ts'
+import { CallBudget, failureOf } from './callBudget.ts'
+import { CallCrashRecord } from './callCrashRecord.ts'
 import { CallerResponse } from './callerResponse.ts'
 import type { TrackedEndpoint } from './trackedEndpoints.ts'
 import { Exchange, type ResponseHead, type ExchangeFailure } from './exchange.ts'
@@ -25,6 +26,7 @@
   readonly #input: CallInput
   readonly #callerResponse: CallerResponse
   readonly #budget: CallBudget
+  readonly #crashRecord: CallCrashRecord
   readonly #triedIds = new Set<string>()
   readonly #eventSplitter = new EventSplitter()
   #exchange: Exchange | undefined
@@ -48,6 +50,7 @@
     this.#input = input
     this.#callerResponse = new CallerResponse(input.response, state.dialect)
     this.#budget = new CallBudget(input.attributes)
+    this.#crashRecord = new CallCrashRecord(state, input)
   }
 
   async start (): Promise<void> {
@@ -70,17 +73,9 @@
     const { organisation, route, arrivedMs } = this.#input
     const reservation = await this.#budget.reserve(this.#state.ledger, organisation, route, Math.min(route.objectiveMs, this.#remainingMs) / 2)
     if (reservation !== undefined) this.#state.metrics.budgetWaitMs.observe(this.#state.clock.nowMs() - arrivedMs)
-    switch (reservation?.kind) {
-      case undefined:
-      case 'reserved':
-        return true
-      case 'exhausted':
-        this.#refuse('budgetExhausted', 'the rest of the budget does not cover the request at its largest size')
-        return false
-      case 'unavailable':
-        this.#refuse('budgetUnavailable', 'no tokens of the budget are free at the moment', reservation.retryAfterMs)
-        return false
-    }
+    const failure = failureOf(reservation)
+    if (failure !== undefined) this.#respondFailure('refused', failure)
+    return failure === undefined
   }
 
   #attempt (): void {
@@ -191,6 +186,7 @@
     }
     if (count === 0) return
     this.#timings.recordEvent(nowMs)
+    this.#crashRecord.recordEvent(this.#timings, nowMs)
     this.#writeHead()
     this.#callerResponse.write(bytes, this.#exchange)
   }
@@ -217,7 +213,7 @@
       this.#retry(`the endpoint responded with ${status}`)
       return
     }
-    if (!isServerError) this.#state.crashes.recordCompleted(contentOf(this.#input))
+    if (!isServerError) this.#crashRecord.recordCompleted()
     this.#writeHead()
     this.#callerResponse.flushBuffered(undefined)
     this.#finish(status < 400 ? 'finished' : 'failed', status)
@@ -254,7 +250,7 @@
       else this.#fail('endpointLost', failure.detail)
       return
     }
-    if (failure.kind === 'broken') this.#state.recordInterrupted(endpoint, contentOf(this.#input), this.#eventSplitter.count)
+    if (failure.kind === 'broken') this.#crashRecord.recordInterrupted(endpoint, this.#eventSplitter.count)
     else this.#state.recordHealth(endpoint, 'failed')
     if (this.#responseHead === undefined) this.#executions++
     this.#responseHead = undefined
@@ -279,6 +275,11 @@
   }
 
   #retry (detail: string): void {
+    const suspicion = this.#crashRecord.suspicion()
+    if (suspicion !== undefined) {
+      this.#respondFailure(this.#verdict === notRun ? 'refused' : 'failed', { verdict: this.#verdict, reason: 'crashSuspect', detail: suspicion })
+      return
+    }
     this.#state.metrics.retries.inc({ service: this.#input.service.name })
     this.#state.log.event('requestRetried', { attemptId: this.#input.attributes.attemptId ?? '', detail, tried: [...this.#triedIds].join(' ') })
     this.#attempt()
--- a/packages/gateway/src/node/callerServer.ts
+++ b/packages/gateway/src/node/callerServer.ts
@@ -130,8 +130,9 @@
       arrivedMs,
       deadlineAtMs: arrivedMs + timeoutMs
     }
-    if (this.#state.crashes.isSuspect(contentOf(input))) {
-      this.#sendRefusal(request, response, { verdict: notRun, reason: 'crashSuspect', detail: 'endpoints died whenever they ran this request' })
+    const suspicion = this.#state.crashes.suspicionOf(contentOf(input))
+    if (suspicion !== undefined) {
+      this.#sendRefusal(request, response, { verdict: notRun, reason: 'crashSuspect', detail: suspicion })
       return
     }
     const run = new CallRun(this.#state, input)
--- a/packages/gateway/src/node/crashTracker.ts
+++ b/packages/gateway/src/node/crashTracker.ts
@@ -1,18 +1,20 @@
 /**
  * Detects requests that crash their endpoints, so that routers stop running them.
- * Each crash is stored as an object in the store, and all routers list these objects.
+ * Each router stores the evidence of the crashes that it sees, and follows that of all routers.
  */
-import { createHash } from 'node:crypto'
+import { createHash, randomBytes } from 'node:crypto'
 import type { Log, TimerService, Unsubscribe } from '@buckthorndrift/kernel'
-import { CrashEvidence } from '@buckthorndrift/policy'
-import { InterruptedRuns, type InterruptedRun } from '../shared/interruptedRuns.ts'
+import { CrashSuspects } from '@buckthorndrift/policy'
 import type { EndpointEntry } from '../shared/fleet.ts'
-import type { FleetStore } from '../shared/store.ts'
+import { InterruptedRuns, type InterruptedRun } from '../shared/interruptedRuns.ts'
+import { decodeCrashEvidence, type StoredClearance, type StoredCrash, type StoredCrashEvidence } from '../shared/storedCrashes.ts'
+import type { FleetStore, StoredObject } from '../shared/store.ts'
 
 export interface CrashTrackerOptions {
   readonly store: FleetStore
   readonly timers: TimerService
   readonly log: Log
+  readonly random: () => number
 }
 
 /** Content of a request. Its hash identifies the request when its caller sends it again. */
@@ -26,83 +28,194 @@
   readonly body: Buffer | undefined
 }
 
-interface PublishedCrash {
-  readonly crashId: string
-  readonly contentHash: string
-}
-
-/** Limit of the crashes that are stored again after a restore of the store; the oldest are forgotten first. */
-const maxPublishedCrashes = 200
-/** Interval at which the crashes reported by other routers are listed. */
+/** A request is only repeated by its caller, so two crashes are hardly a coincidence. */
+const crashesUntilContentSuspect = 2
+/** Many requests share a part of a prompt, and some of them run at any crash, so two crashes may be a coincidence. */
+const crashesUntilPartSuspect = 3
+/** Limit of the objects that are stored again after a restore of the store; the oldest are forgotten first. */
+const maxPublished = 200
+/** While this router sees crashes, it lists the evidence at this interval, because the connection of the watch may have gone silent. */
 const listIntervalMs = 2000
+/** Time after a crash during which further ones are expected. */
+const crashSeriesMs = 10_000
+/** Longest random delay before a clearance is stored. It collects traits, and other routers that store the same clearance first make it needless. */
+const maxClearanceDelayMs = 400
 /** Length of a content hash in hexadecimal digits. */
 const hashLength = 24
 
 export class CrashTracker {
   readonly #options: CrashTrackerOptions
-  readonly #evidence = new CrashEvidence()
+  readonly #contents = new CrashSuspects({ crashesUntilSuspect: crashesUntilContentSuspect })
+  readonly #promptParts = new CrashSuspects({ crashesUntilSuspect: crashesUntilPartSuspect })
   readonly #interrupted = new InterruptedRuns()
-  readonly #knownCrashes = new Set<string>()
-  readonly #stopListing: Unsubscribe
-  /** Objects that this router has stored, by name. */
-  readonly #published = new Map<string, PublishedCrash>()
-  readonly #stopRestoreListener: Unsubscribe
+  /** Stored evidence by object name. */
+  readonly #known = new Map<string, StoredCrashEvidence>()
+  /** Evidence that this router has stored, by object name. */
+  readonly #published = new Map<string, StoredCrashEvidence>()
+  readonly #soundContents = new Set<string>()
+  readonly #soundParts = new Set<string>()
+  readonly #subscriptions: readonly Unsubscribe[]
+  #isClearanceDue = false
   #isListing = false
+  #lastCrashMs = -Infinity
 
   constructor (options: CrashTrackerOptions) {
     this.#options = options
-    this.#stopRestoreListener = options.store.onRestored(() => { void this.#publishAgain() })
-    this.#stopListing = options.timers.every(listIntervalMs, () => { void this.#list() })
+    this.#subscriptions = [
+      options.store.onRestored(() => { void this.#publishAgain() }),
+      options.timers.every(listIntervalMs, () => { if (this.isInSeries) void this.#list() })
+    ]
   }
 
   stop (): void {
-    this.#stopListing()
-    this.#stopRestoreListener()
+    for (const unsubscribe of this.#subscriptions) unsubscribe()
   }
 
-  /** Whether several endpoints crashed while they were running this request. */
-  isSuspect (content: CallContent): boolean {
-    return this.#knownCrashes.size > 0 && this.#evidence.isSuspect(hashOf(content))
+  /** Whether an endpoint crashed a short time ago, so that further crashes are expected. */
+  get isInSeries (): boolean {
+    return this.#nowMs() - this.#lastCrashMs < crashSeriesMs
+  }
+
+  /** Why a request is not run; `undefined` if endpoints may run it. */
+  suspicionOf (content: CallContent): string | undefined {
+    const part = this.#promptParts.findSuspect(content.sharedParts)
+    if (part !== undefined) return `endpoints crash when they run a request with part ${part} of its prompt`
+    if (!this.#contents.isEmpty && this.#contents.findSuspect([hashOf(content)]) !== undefined) return 'endpoints crash when they run this request'
+    return undefined
   }
 
   /** Records that the connection of a request broke while the endpoint may have been running it. */
   recordInterrupted (endpoint: EndpointEntry, content: CallContent, events: number): void {
-    this.#interrupted.add(endpoint.id, { attemptId: content.attemptId ?? '', contentHash: hashOf(content), sharedParts: content.sharedParts, events, atMs: this.#options.timers.monotonicMs() })
+    this.#interrupted.add(endpoint.id, { attemptId: content.attemptId ?? '', contentHash: hashOf(content), sharedParts: content.sharedParts, events, atMs: this.#nowMs() })
   }
 
-  /** Called when an endpoint is down or was replaced by a new incarnation. Reports a crash for each request that this endpoint was running when its connection broke shortly before. */
+  /** Called when an endpoint is down or was replaced by a new incarnation. Stores as evidence the requests that this endpoint was running when their connections broke shortly before. */
   recordEndpointDown (endpoint: EndpointEntry): void {
     if (this.#interrupted.isEmpty) return
+    const nowMs = this.#nowMs()
+    const runs = this.#interrupted.take(endpoint.id, nowMs)
+    if (runs.length === 0) return
+    this.#lastCrashMs = nowMs
     const crashId = `${endpoint.id}.${endpoint.startedAtMs ?? 0}`
-    const runs = this.#interrupted.take(endpoint.id, this.#options.timers.monotonicMs())
-    for (const run of new Map(runs.map(run => [run.contentHash, run])).values()) void this.#publish(crashId, run)
+    const crash: StoredCrash = {
+      kind: 'crash',
+      crashId,
+      contents: [...new Set(runs.map(run => run.contentHash))],
+      prompts: runs.map(run => run.sharedParts.filter(part => !this.#promptParts.isSound(part, nowMs))).filter(parts => parts.length > 0)
+    }
+    this.#addCrash(crash, undefined)
+    for (const run of runs) this.#logRun(crashId, run)
+    void this.#publish(`${crashId}.${randomName()}`, crash)
+  }
+
+  /** Records that an endpoint has been sending the response to a request for a while, so that no part of its prompt crashes endpoints. */
+  recordProgress ({ sharedParts }: CallContent): void {
+    const nowMs = this.#nowMs()
+    for (const part of sharedParts) {
+      this.#promptParts.recordSoundRun(part, nowMs)
+      if (this.#promptParts.needsClearance(part, nowMs)) this.#soundParts.add(part)
+    }
+    this.#scheduleClearance()
   }
 
-  /** Clears the evidence against a request that completed, since it does not crash endpoints. */
+  /** Records that a request completed, so that it does not crash endpoints. */
   recordCompleted (content: CallContent): void {
-    if (this.#knownCrashes.size > 0) this.#evidence.clear(hashOf(content))
+    if (!this.#contents.isEmpty) {
+      const [hash, nowMs] = [hashOf(content), this.#nowMs()]
+      if (this.#contents.countCrashes(hash) > 0) {
+        this.#contents.recordSoundRun(hash, nowMs)
+        this.#soundContents.add(hash)
+      }
+    }
+    this.recordProgress(content)
+  }
+
+  /** Applies an object that a router has stored. */
+  applyStored ({ name, value, revision }: StoredObject): void {
+    const evidence = decodeCrashEvidence(value)
+    if (evidence === undefined) return
+    this.#known.set(name, evidence)
+    switch (evidence.kind) {
+      case 'crash':
+        this.#addCrash(evidence, revision)
+        return
+      case 'clearance':
+        for (const content of evidence.contents) this.#contents.recordClearance(content, revision)
+        for (const part of evidence.promptParts) this.#promptParts.recordClearance(part, revision)
+    }
+  }
+
+  /** Applies the removal of an object, by which operators lift a suspicion. */
+  applyRemoved (name: string): void {
+    const evidence = this.#known.get(name)
+    this.#known.delete(name)
+    this.#published.delete(name)
+    if (evidence?.kind !== 'crash') return
+    for (const content of evidence.contents) this.#contents.forgetCrash(content, evidence.crashId)
+    for (const part of evidence.prompts.flat()) this.#promptParts.forgetCrash(part, evidence.crashId)
   }
 
-  async #publish (crashId: string, { contentHash, attemptId, sharedParts, events }: InterruptedRun): Promise<void> {
-    this.#addEvidence(crashId, contentHash)
-    this.#options.log.event('contentCrashedEndpoint', { crashId, attemptId, contentHash, sharedParts: sharedParts.join(' '), events, crashes: this.#evidence.countCrashes(contentHash) })
-    // A failed write is not retried. Only this router then has the evidence of this crash. The next crash of the request is stored as a separate object.
-    const name = `${contentHash}.${crashId}`
-    this.#published.set(name, { crashId, contentHash })
-    if (this.#published.size > maxPublishedCrashes) this.#published.delete(this.#published.keys().next().value!)
-    await this.#options.store.create('crashes', name, { crashId, contentHash })
+  /** Applies the removal of all objects that a full list does not contain. */
+  applyListed (names: ReadonlySet<string>): void {
+    for (const name of this.#known.keys()) if (!names.has(name)) this.applyRemoved(name)
   }
 
-  /** Stores the crashes again after the store was restored from a copy that may lack them. */
+  #nowMs (): number {
+    return this.#options.timers.monotonicMs()
+  }
+
+  #logRun (crashId: string, { attemptId, contentHash, sharedParts, events }: InterruptedRun): void {
+    const crashes = Math.max(this.#contents.countCrashes(contentHash), ...sharedParts.map(part => this.#promptParts.countCrashes(part)))
+    this.#options.log.event('contentCrashedEndpoint', { crashId, attemptId, contentHash, sharedParts: sharedParts.join(' '), events, crashes })
+  }
+
+  #addCrash ({ crashId, contents, prompts }: StoredCrash, revision: number | undefined): void {
+    const nowMs = this.#nowMs()
+    const parts = [...new Set(prompts.flat())]
+    const suspectsBefore = new Set(parts.filter(part => this.#promptParts.isSuspect(part)))
+    this.#contents.recordCrash({ crashId, requests: contents.map(content => [content]), revision }, nowMs)
+    this.#promptParts.recordCrash({ crashId, requests: prompts, revision }, nowMs)
+    for (const part of parts) {
+      if (!suspectsBefore.has(part) && this.#promptParts.isSuspect(part)) this.#options.log.event('promptPartSuspected', { part, crashes: this.#promptParts.countCrashes(part) })
+      if (this.#promptParts.needsClearance(part, nowMs)) this.#soundParts.add(part)
+    }
+    this.#scheduleClearance()
+  }
+
+  async #publish (name: string, evidence: StoredCrashEvidence): Promise<void> {
+    this.#published.set(name, evidence)
+    if (this.#published.size > maxPublished) this.#published.delete(this.#published.keys().next().value!)
+    // A failed write is not retried. Only this router then has the evidence, and the next crash is stored as a separate object.
+    const result = await this.#options.store.create('crashes', name, evidence)
+    if (result.isOk()) this.applyStored(result.value)
+  }
+
+  /** Stores the evidence again after the store was restored from a copy that may lack it. */
   async #publishAgain (): Promise<void> {
-    for (const [name, crash] of this.#published) await this.#options.store.create('crashes', name, crash)
+    for (const [name, evidence] of this.#published) await this.#options.store.create('crashes', name, evidence)
+  }
+
+  #scheduleClearance (): void {
+    if (this.#isClearanceDue || this.#soundParts.size + this.#soundContents.size === 0) return
+    this.#isClearanceDue = true
+    this.#options.timers.after(this.#options.random() * maxClearanceDelayMs, () => {
+      this.#isClearanceDue = false
+      this.#storeClearance()
+    })
   }
 
-  #addEvidence (crashId: string, contentHash: string): void {
-    const name = `${contentHash}.${crashId}`
-    if (this.#knownCrashes.has(name)) return
-    this.#knownCrashes.add(name)
-    this.#evidence.record(crashId, [contentHash], this.#options.timers.nowMs())
+  #storeClearance (): void {
+    const nowMs = this.#nowMs()
+    const clearance: StoredClearance = {
+      kind: 'clearance',
+      contents: [...this.#soundContents].filter(content => this.#contents.needsClearance(content, nowMs)),
+      promptParts: [...this.#soundParts].filter(part => this.#promptParts.needsClearance(part, nowMs))
+    }
+    this.#soundContents.clear()
+    this.#soundParts.clear()
+    if (clearance.contents.length + clearance.promptParts.length === 0) return
+    this.#options.log.event('crashSuspicionCleared', { contents: clearance.contents.join(' '), promptParts: clearance.promptParts.join(' ') })
+    void this.#publish(`clearance.${randomName()}`, clearance)
   }
 
   async #list (): Promise<void> {
@@ -111,13 +224,14 @@
     const result = await this.#options.store.list('crashes', { mayBeStale: true })
     this.#isListing = false
     if (result.isErr()) return
-    for (const { value } of result.value.objects) {
-      const { crashId, contentHash } = (value ?? {}) as { crashId?: unknown, contentHash?: unknown }
-      if (typeof crashId === 'string' && typeof contentHash === 'string') this.#addEvidence(crashId, contentHash)
-    }
+    for (const object of result.value.objects) if (!this.#known.has(object.name)) this.applyStored(object)
   }
 }
 
+function randomName (): string {
+  return randomBytes(6).toString('hex')
+}
+
 function hashOf ({ apiKey, method, path, body }: CallContent): string {
   const hash = createHash('sha256').update(`${apiKey ?? ''}\n${method} ${path}\n`)
   if (body !== undefined) hash.update(body)
--- a/packages/gateway/src/node/followFleet.ts
+++ b/packages/gateway/src/node/followFleet.ts
@@ -19,10 +19,12 @@
 /** Watches are shorter than `contactMs` by this time. It is enough to detect a silent connection and to call the store again within `contactMs`. */
 const silenceDetectionMs = 1000
 const minWatchMs = 1000
-/** Wait of a watch of rollouts while there is none. Each call counts, and orders are rare. */
-const idleRolloutWatchMs = 12_000
+/** Wait of a watch of objects that change rarely, while no change is expected. Each call counts. */
+const idleWatchMs = 12_000
 /** Pause between two watch calls, in which endpoint changes are collected. It is well below the time for which a draining endpoint still serves requests. */
 const endpointBatchMs = 300
+/** Pause between two watch calls, in which the evidence of a crash from several routers is collected. */
+const crashBatchMs = 300
 const expiryCheckIntervalMs = 100
 /** Times after a restore of the store at which the endpoints are listed again: when live endpoints have written their entries again, and when the entries of the others have expired. */
 const relistDelaysMs: readonly number[] = [2500, 6000]
@@ -35,7 +37,7 @@
 
 export function followFleet (options: FollowFleetOptions): FleetFollowers {
   const { state, store, timers, log, random } = options
-  const loaded = { configuration: false, endpoints: false, rollouts: false }
+  const loaded = { configuration: false, endpoints: false, rollouts: false, crashes: false }
   /** Time of the first response of the store after its last outage. */
   let contactRegainedMs = -Infinity
   /** Whether the store was restored from a copy while this router ran. */
@@ -119,11 +121,22 @@
     onContact: (isInContact, detail) => { onContactChange('rollouts', isInContact, detail) }
   }
 
+  const crashListener: FollowerListener = {
+    onObject: object => { state.crashes.applyStored(object) },
+    onRemoved: name => { state.crashes.applyRemoved(name) },
+    onListed: names => {
+      state.crashes.applyListed(names)
+      loaded.crashes = true
+    },
+    onContact: (isInContact, detail) => { onContactChange('crashes', isInContact, detail) }
+  }
+
   const watchWaitMs = Math.max(minWatchMs, state.deployment.contactMs - silenceDetectionMs)
   const followers = [
     new StoreFollower({ kind: 'configuration', store, timers, random, listener: configurationListener, waitMs: () => watchWaitMs, pauseMs: 0 }),
     new StoreFollower({ kind: 'endpoints', store, timers, random, listener: endpointListener, waitMs: () => watchWaitMs, pauseMs: endpointBatchMs }),
-    new StoreFollower({ kind: 'rollouts', store, timers, random, listener: rolloutListener, waitMs: () => state.rollouts.isRunning ? watchWaitMs : idleRolloutWatchMs, pauseMs: 0 })
+    new StoreFollower({ kind: 'rollouts', store, timers, random, listener: rolloutListener, waitMs: () => state.rollouts.isRunning ? watchWaitMs : idleWatchMs, pauseMs: 0 }),
+    new StoreFollower({ kind: 'crashes', store, timers, random, listener: crashListener, waitMs: () => state.crashes.isInSeries ? watchWaitMs : idleWatchMs, pauseMs: crashBatchMs })
   ]
   for (const follower of followers) follower.start()
   // Endpoints and operators write again what the restore lost. Entries that are ignored until then show no further event if only their heartbeat changes.
@@ -137,7 +150,7 @@
     for (const change of state.directory.removeExpired(timers.monotonicMs())) onDirectoryChange(change)
   })
   return {
-    isLoaded: () => loaded.endpoints && loaded.rollouts && state.routeTable !== undefined,
+    isLoaded: () => loaded.endpoints && loaded.rollouts && loaded.crashes && state.routeTable !== undefined,
     stop: () => {
       stopRestoreListener()
       stopExpiring()
--- a/packages/gateway/src/node/gatewayState.ts
+++ b/packages/gateway/src/node/gatewayState.ts
@@ -183,11 +183,11 @@
     this.log.event('endpointAvoided', { endpoint: id, service, address, outcome, failureShare: Number(endpoint.health.failureShare(nowMs).toFixed(2)) })
   }
 
-  /** Records that a connection broke while the endpoint may have been running a request, and probes whether the endpoint crashed. */
-  recordInterrupted (endpoint: TrackedEndpoint | undefined, content: CallContent, events: number): void {
+  /** Records that a connection broke while the endpoint may have been running a request, and probes whether the endpoint crashed. `content` is `undefined` if the request cannot be the cause of a crash. */
+  recordInterrupted (endpoint: TrackedEndpoint | undefined, content: CallContent | undefined, events: number): void {
     if (endpoint === undefined) return
     this.recordHealth(endpoint, 'failed')
-    this.crashes.recordInterrupted(endpoint.entry, content, events)
+    if (content !== undefined) this.crashes.recordInterrupted(endpoint.entry, content, events)
     void endpoint.connections.probeListening().then(isListening => {
       if (!isListening) this.recordHealth(endpoint, 'down')
     })
--- a/packages/gateway/src/node/startGateway.ts
+++ b/packages/gateway/src/node/startGateway.ts
@@ -92,7 +92,7 @@
   const loans = peers === undefined ? undefined : { address: `${peers.host}:${await listen(peerServer, peers)}`, client: loanClient }
   const holder = `${deployment.nodeName}.${incarnation}`
   const ledger = new BudgetLedger({ store, timers, log, holder, nodeName: deployment.nodeName, random, loans, startClock: options.startClock ?? readVmClocks(), readClocks: readVmClocks })
-  const crashes = new CrashTracker({ store, timers, log })
+  const crashes = new CrashTracker({ store, timers, log, random })
   const guard = new OverloadGuard()
   const load = new LoadMeter({ linkMbps: deployment.linkMbps, processorCores: deployment.processorCores, timers, guard })
   const outcomeClient = createOutcomeClient()
--- a/packages/gateway/src/shared/__tests__/storeOutage.test.ts
+++ b/packages/gateway/src/shared/__tests__/storeOutage.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from 'vitest'
-import { InterruptedRuns } from '../interruptedRuns.ts'
+import { InterruptedRuns, type InterruptedRun } from '../interruptedRuns.ts'
 import { StoreOutage } from '../storeOutage.ts'
 
 describe('StoreOutage', () => {
@@ -25,10 +25,11 @@
 describe('InterruptedRuns', () => {
   it('suspects only requests that were interrupted at the crashed endpoint shortly before the crash was detected', () => {
     const interrupted = new InterruptedRuns()
-    interrupted.add('e1', 'old', 0)
-    interrupted.add('e1', 'new', 7000)
-    interrupted.add('e2', 'elsewhere', 7000)
-    expect(interrupted.takeSuspects('e1', 7500)).toEqual(['new'])
-    expect(interrupted.takeSuspects('e1', 7500)).toEqual([])
+    const run = (contentHash: string, atMs: number): InterruptedRun => ({ attemptId: '', contentHash, sharedParts: [], events: 0, atMs })
+    interrupted.add('e1', run('old', 0))
+    interrupted.add('e1', run('new', 7000))
+    interrupted.add('e2', run('elsewhere', 7000))
+    expect(interrupted.take('e1', 7500)).toEqual([run('new', 7000)])
+    expect(interrupted.take('e1', 7500)).toEqual([])
   })
 })
--- a/packages/gateway/src/shared/responseTimings.ts
+++ b/packages/gateway/src/shared/responseTimings.ts
@@ -2,6 +2,7 @@
 
 export class ResponseTimings {
   #firstByteMs: number | undefined
+  #firstEventMs: number | undefined
   #lastEventMs: number | undefined
   #longestGapMs = 0
 
@@ -15,12 +16,18 @@
     return this.#firstByteMs === undefined ? undefined : this.#firstByteMs - startMs
   }
 
+  /** Time since the first event; 0 if there was none. */
+  sinceFirstEventMs (nowMs: number): number {
+    return nowMs - (this.#firstEventMs ?? nowMs)
+  }
+
   recordBytes (nowMs: number): void {
     this.#firstByteMs ??= nowMs
   }
 
   recordEvent (nowMs: number): void {
     this.#longestGapMs = Math.max(this.#longestGapMs, nowMs - (this.#lastEventMs ?? nowMs))
+    this.#firstEventMs ??= nowMs
     this.#lastEventMs = nowMs
   }
 }
--- a/packages/policy/src/shared/crash/index.ts
+++ b/packages/policy/src/shared/crash/index.ts
@@ -1,1 +1,2 @@
 export { CrashEvidence, type StoredCrash, type StoredCrashes } from './crashEvidence.ts'
+export { CrashSuspects, type CrashReport, type CrashSuspectsOptions } from './crashSuspects.ts'
