Judge a version by the pace of its streams and by requests that callers gave up

Cause: the outcome of a request was counted when it ended, and of a stream only the time to its first event. Streams of the bad version reached their first event in time (median 80 ms against 33 ms), went on at 88 to 900 ms an event against 40 ms, and did not end before their callers left, which counted as nothing. The class of fault: a sample of only those that survive. Ruled out: reports that get lost (the controller had 46 requests of the target when it completed the rollout), and the share of the target (7 % at first, as planned).

Change: the latency counts at the first event, the mean time between events after 20 gaps or 1.5 s, both before the stream ends. Callers that leave count with the time that they had waited. RouteComparison compares the time between events like the latency; at shares above 15 % the target may take twice as long, because engines that bear more load are slower for this reason alone.

The test of streams that go on several times slower failed before with state running.

--- a/packages/gateway/src/node/callRun.ts
+++ b/packages/gateway/src/node/callRun.ts
@@ -99,7 +99,7 @@
     this.#responseHead = undefined
     this.#eventSplitter.discardPartial()
     this.#triedIds.add(endpoint.entry.id)
-    this.#endpointAttempt = new EndpointAttempt(endpoint, { generation: attributes.generation, uncachedTokens, estimateMs, nowMs: this.#state.clock.nowMs(), onOutcome: (isSuccess, latencyMs) => { this.#state.rollouts.recordOutcome(endpoint.entry, route.name, isSuccess, latencyMs) } })
+    this.#endpointAttempt = new EndpointAttempt(endpoint, { generation: attributes.generation, uncachedTokens, estimateMs, nowMs: this.#state.clock.nowMs(), onObservation: observation => { this.#state.rollouts.record(endpoint.entry, route.name, observation) } })
     const resumeAfter = this.#eventSplitter.lastId ?? attributes.resumeAfter
     const headers = this.#state.dialect.forwardHeaders(request.rawHeaders, {
       remainingMs: Math.max(1, Math.floor(this.#remainingMs - responseMarginMs)),
@@ -186,6 +186,7 @@
     }
     if (count === 0) return
     this.#timings.recordEvent(nowMs)
+    this.#endpointAttempt?.recordEvents(count, nowMs)
     this.#crashRecord.recordEvent(this.#timings, nowMs)
     this.#writeHead()
     this.#callerResponse.write(bytes, this.#exchange)
@@ -300,7 +301,7 @@
 
   #onCallerDisconnect (): void {
     this.#exchange?.abort()
-    this.#endAttempt()
+    this.#endpointAttempt?.endAbandoned(this.#input.route.objectiveMs, this.#state.clock.nowMs())
     this.#finish('abandoned', 0)
   }
 
@@ -316,18 +317,14 @@
     if (this.#isDone) return
     this.#lastDetail = failure.detail
     if (this.#callerResponse.hasStarted) {
-      this.#closeConnection(failure)
+      // The caller must not take a truncated response for a complete one.
+      this.#finish('failed', this.#input.response.statusCode, failure.reason)
+      this.#callerResponse.closeConnection()
       return
     }
     this.#finish(outcome, sendFailure(this.#input.response, failure, this.#state.shouldCloseConnections), failure.reason)
   }
 
-  /** Closes the connection of the caller, so that a truncated response does not look complete. */
-  #closeConnection (failure: Failure): void {
-    this.#finish('failed', this.#input.response.statusCode, failure.reason)
-    this.#callerResponse.closeConnection()
-  }
-
   #finish (outcome: CallOutcome['outcome'], status: number, reason?: FailureReason): void {
     if (this.#isDone) return
     this.#isDone = true
--- a/packages/gateway/src/node/rollouts.ts
+++ b/packages/gateway/src/node/rollouts.ts
@@ -5,7 +5,7 @@
  * at once when its own outcomes show a fault.
  */
 import type { Log, TimerService, Unsubscribe } from '@buckthorndrift/kernel'
-import { addInterval, decideTimedRollout, evaluationIntervalMs, LocalObserver, newEvidence, poolCounts, PooledIntervals, timedTargetShare, type ObservedCounts, type RolloutEvidence } from '@buckthorndrift/policy'
+import { addInterval, decideTimedRollout, evaluationIntervalMs, gapToleranceBuckets, LocalObserver, newEvidence, poolCounts, PooledIntervals, timedTargetShare, type Observation, type ObservedCounts, type RolloutEvidence } from '@buckthorndrift/policy'
 import type { Dialect } from '../shared/dialect.ts'
 import type { EndpointEntry, RolloutOrder } from '../shared/fleet.ts'
 import type { OutcomeReportMessage } from '../shared/outcomes.ts'
@@ -101,12 +101,12 @@
     return this.#gate.eligible({ service, endpoints, rollout: gated, isRepeated, random: this.#options.random(), nowMs })
   }
 
-  /** Counts the outcome of one request at an endpoint. */
-  recordOutcome (endpoint: EndpointEntry, route: string, isSuccess: boolean, latencyMs: number): void {
+  /** Counts what a request showed about the version of an endpoint. */
+  record (endpoint: EndpointEntry, route: string, observation: Observation): void {
     const rollout = this.#active.get(endpoint.service)
     if (rollout === undefined || !isOpen(rollout.order)) return
     const group = endpoint.version === rollout.order.target ? targetGroup : baselineGroup
-    this.#observer.observe(endpoint.service, group, route, isSuccess, latencyMs)
+    this.#observer.record(endpoint.service, group, route, observation)
   }
 
   /** Takes the report of another router. Returns whether this router controls the rollout. */
@@ -133,6 +133,10 @@
     return timedTargetShare(this.#elapsedMs(rollout), order.durationMs)
   }
 
+  #gapToleranceBuckets (rollout: ActiveRollout): number {
+    return gapToleranceBuckets(this.#elapsedMs(rollout), rollout.order.durationMs)
+  }
+
   #isController ({ order }: ActiveRollout): boolean {
     return order.control?.holder === this.#options.holder
   }
@@ -179,7 +183,7 @@
   /** Stops the target at this router, and rolls it back, if the outcomes of this router alone show a fault. */
   #evaluateOwn (rollout: ActiveRollout, counts: readonly ObservedCounts[]): void {
     const { service, target } = rollout.order
-    const reason = this.#observer.evaluateTarget(service, baselineGroup!, targetGroup!, counts, this.#nowMs())
+    const reason = this.#observer.evaluateTarget(service, baselineGroup!, targetGroup!, counts, this.#nowMs(), this.#gapToleranceBuckets(rollout))
     if (reason === undefined) return
     this.#options.log.event('versionStopped', { service, version: target, reason })
     void this.#store(rollout, 'rolledBack')
@@ -188,7 +192,7 @@
   #control (rollout: ActiveRollout, counts: readonly ObservedCounts[]): void {
     const { service, target, durationMs } = rollout.order
     rollout.pooled.receive({ routerId: this.#options.holder, interval: this.#interval, counts })
-    rollout.evidence = addInterval(rollout.evidence, poolCounts(rollout.pooled.take(), service, baselineGroup!, targetGroup!))
+    rollout.evidence = addInterval(rollout.evidence, poolCounts(rollout.pooled.take(), service, baselineGroup!, targetGroup!), this.#gapToleranceBuckets(rollout))
     const decision = decideTimedRollout({ evidence: rollout.evidence, elapsedMs: this.#elapsedMs(rollout), durationMs, hasTargetEndpoint: this.#options.hasEndpoint(service, target) })
     switch (decision.kind) {
       case 'continue':
@@ -211,7 +215,7 @@
     }
     // Reports without requests at the target would only tell the usual state of the baseline.
     if (control.address === undefined || counts.length === 0) return
-    const isAccepted = await this.#options.client.report(control.address, { service, target, routerId: this.#options.holder, interval: this.#interval, counts: counts.map(each => ({ ...each, latencyBuckets: [...each.latencyBuckets] })) })
+    const isAccepted = await this.#options.client.report(control.address, { service, target, routerId: this.#options.holder, interval: this.#interval, counts: counts.map(each => ({ ...each, latencyBuckets: [...each.latencyBuckets], gapBuckets: [...each.gapBuckets ?? []] })) })
     if (isAccepted) {
       rollout.controllerFailingSinceMs = undefined
       return
--- a/packages/gateway/src/shared/outcomes.ts
+++ b/packages/gateway/src/shared/outcomes.ts
@@ -11,6 +11,6 @@
   /** Increases with each report of this process. */
   interval: count,
   /** Counts by version group and route. */
-  counts: z.array(z.object({ service: z.string(), version: z.string(), route: z.string(), completed: count, failed: count, latencyBuckets: z.array(count) }))
+  counts: z.array(z.object({ service: z.string(), version: z.string(), route: z.string(), completed: count, failed: count, latencyBuckets: z.array(count), gapBuckets: z._default(z.array(count), []) }))
 }))
 export type OutcomeReportMessage = z.infer<typeof outcomeReportSchema>
--- a/packages/policy/src/shared/rollout/__tests__/timedRollout.test.ts
+++ b/packages/policy/src/shared/rollout/__tests__/timedRollout.test.ts
@@ -1,12 +1,14 @@
 import { describe, expect, it } from 'vitest'
-import { addInterval, decideTimedRollout, evaluationIntervalMs, latencyBucketCount, latencyBucketOf, newEvidence, timedTargetShare, type RolloutEvidence, type RouteCounts } from '../index.ts'
+import { addInterval, decideTimedRollout, evaluationIntervalMs, gapToleranceBuckets, latencyBucketCount, latencyBucketOf, newEvidence, timedTargetShare, type RolloutEvidence, type RouteCounts } from '../index.ts'
 
 const durationMs = 12_000
 
-function counts (completed: number, failed: number, latencyMs: number): RouteCounts {
+function counts (completed: number, failed: number, latencyMs: number, gapMs = 40): RouteCounts {
   const latencyBuckets = Array<number>(latencyBucketCount).fill(0)
   latencyBuckets[latencyBucketOf(latencyMs)] = completed
-  return { completed, failed, latencyBuckets }
+  const gapBuckets = Array<number>(latencyBucketCount).fill(0)
+  gapBuckets[latencyBucketOf(gapMs)] = completed
+  return { completed, failed, latencyBuckets, gapBuckets }
 }
 
 interface Fault {
@@ -14,6 +16,8 @@
   readonly minShare: number
   readonly failureShare: number
   readonly slowdown: number
+  /** Factor of the time between two events of a stream. */
+  readonly gapFactor?: number
 }
 
 /** Plays a rollout at an even load. Returns how it ended, and which share of all requests the target got. */
@@ -27,8 +31,9 @@
     targetRequests += atTarget
     const isBad = fault !== undefined && elapsedMs >= fault.fromMs && share >= fault.minShare
     const failed = isBad ? Math.round(atTarget * fault.failureShare) : 0
-    const target = { question: counts(atTarget - failed, failed, isBad ? 300 * fault.slowdown : 300) }
-    evidence = addInterval(evidence, { baseline: { question: counts(Math.round(requests - atTarget), 0, 300) }, target })
+    const target = { question: counts(atTarget - failed, failed, isBad ? 300 * fault.slowdown : 300, isBad ? 40 * (fault.gapFactor ?? 1) : 40) }
+    const baseline = { question: counts(Math.round(requests - atTarget), 0, 300) }
+    evidence = addInterval(evidence, { baseline, target }, gapToleranceBuckets(elapsedMs, durationMs))
     const decision = decideTimedRollout({ evidence, elapsedMs, durationMs, hasTargetEndpoint: true })
     if (decision.kind !== 'continue') return { end: decision.kind, endMs: elapsedMs, exposure: targetRequests / (requestsPerS * durationMs / 1000) }
   }
@@ -43,11 +48,17 @@
     expect(endMs).toBeGreaterThan(durationMs * 0.8)
   })
 
+  it('completes a good version whose endpoints send events more slowly only while they bear most of the load', () => {
+    expect(play(120, { fromMs: 0, minShare: 0.3, failureShare: 0, slowdown: 1, gapFactor: 1.8 }).end).toBe('complete')
+  })
+
   // The limits are those of the platform: at most a tenth of all requests and 50 more reach a bad version.
   it.each([
     ['fails half of its requests', { fromMs: 0, minShare: 0, failureShare: 0.5, slowdown: 1 }],
     ['fails a quarter of its requests', { fromMs: 0, minShare: 0, failureShare: 0.25, slowdown: 1 }],
     ['is eight times as slow', { fromMs: 0, minShare: 0, failureShare: 0, slowdown: 8 }],
+    ['sends the events of streams at a third of the usual rate', { fromMs: 0, minShare: 0, failureShare: 0, slowdown: 1, gapFactor: 3 }],
+    ['sends the events of streams at a third of the usual rate under load', { fromMs: 0, minShare: 0.25, failureShare: 0, slowdown: 1, gapFactor: 3 }],
     ['fails from 3 s on', { fromMs: 3000, minShare: 0, failureShare: 0.5, slowdown: 1 }],
     ['fails only under load', { fromMs: 0, minShare: 0.25, failureShare: 0.5, slowdown: 1 }]
   ])('rolls back a version that %s, with little exposure', (_, fault) => {
--- a/packages/policy/src/shared/rollout/localObserver.ts
+++ b/packages/policy/src/shared/rollout/localObserver.ts
@@ -10,6 +10,15 @@
   readonly route: string
 }
 
+/** What one request showed about a version. A request may show several of these. */
+export type Observation =
+  | { readonly kind: 'completed' }
+  | { readonly kind: 'failed' }
+  /** Latency of the response, or of its first event; at least that long if the caller gave the request up. */
+  | { readonly kind: 'latency', readonly durationMs: number }
+  /** Mean time between the first events of a stream; at least that long if the caller gave it up. */
+  | { readonly kind: 'eventGap', readonly durationMs: number }
+
 interface OpenCounts {
   readonly service: string
   readonly version: string
@@ -17,6 +26,7 @@
   completed: number
   failed: number
   readonly latencyBuckets: number[]
+  readonly gapBuckets: number[]
 }
 
 /** Time after which a router tries a locally stopped version again, unless the rollout has been rolled back. */
@@ -29,15 +39,28 @@
 
   /** Counts one finished request. */
   observe (service: string, version: string, route: string, isSuccess: boolean, durationMs: number): void {
+    this.record(service, version, route, { kind: isSuccess ? 'completed' : 'failed' })
+    if (isSuccess) this.record(service, version, route, { kind: 'latency', durationMs })
+  }
+
+  /** Counts what a request showed, which may be known before it ends. */
+  record (service: string, version: string, route: string, observation: Observation): void {
     const key = JSON.stringify([service, version, route])
-    const counts = this.#openCounts.get(key) ?? { service, version, route, completed: 0, failed: 0, latencyBuckets: Array<number>(latencyBucketCount).fill(0) }
+    const counts = this.#openCounts.get(key) ?? { service, version, route, completed: 0, failed: 0, latencyBuckets: newBuckets(), gapBuckets: newBuckets() }
     this.#openCounts.set(key, counts)
-    if (!isSuccess) {
-      counts.failed++
-      return
+    switch (observation.kind) {
+      case 'completed':
+        counts.completed++
+        return
+      case 'failed':
+        counts.failed++
+        return
+      case 'latency':
+        counts.latencyBuckets[latencyBucketOf(observation.durationMs)]!++
+        return
+      case 'eventGap':
+        counts.gapBuckets[latencyBucketOf(observation.durationMs)]!++
     }
-    counts.completed++
-    counts.latencyBuckets[latencyBucketOf(durationMs)]!++
   }
 
   /** Ends the interval and returns its counts. */
@@ -48,13 +71,13 @@
   }
 
   /** Evaluates the target version of a service by this router's counts alone. If they give a reason for a rollback, stops the version locally and returns the reason. */
-  evaluateTarget (service: string, baseline: string, target: string, counts: readonly ObservedCounts[], nowMs: number): string | undefined {
+  evaluateTarget (service: string, baseline: string, target: string, counts: readonly ObservedCounts[], nowMs: number, gapToleranceBuckets = 0): string | undefined {
     const key = JSON.stringify([service, target])
     const known = this.#evidence.get(key) ?? newEvidence(target)
     const evidence = addInterval(known, {
       baseline: countsByRoute(counts, service, baseline),
       target: countsByRoute(counts, service, target)
-    })
+    }, gapToleranceBuckets)
     const reason = findRollbackReason(evidence)
     this.#evidence.set(key, reason === undefined ? evidence : newEvidence(target))
     if (reason !== undefined) this.#stoppedUntilMs.set(key, nowMs + localStopMs)
@@ -67,6 +90,10 @@
   }
 }
 
+function newBuckets (): number[] {
+  return Array<number>(latencyBucketCount).fill(0)
+}
+
 /** Counts of one version of a service, by route. */
 export function countsByRoute (counts: readonly ObservedCounts[], service: string, version: string): Readonly<Record<string, RouteCounts>> {
   const routes: Record<string, RouteCounts> = {}
--- a/packages/policy/src/shared/rollout/rollout.ts
+++ b/packages/policy/src/shared/rollout/rollout.ts
@@ -79,14 +79,14 @@
   readonly target: Readonly<Record<string, RouteCounts>>
 }
 
-/** Adds the counts of one interval to the evidence. */
-export function addInterval (evidence: RolloutEvidence, interval: IntervalCounts): RolloutEvidence {
+/** Adds the counts of one interval to the evidence. See `compareInterval` for the tolerance. */
+export function addInterval (evidence: RolloutEvidence, interval: IntervalCounts, gapToleranceBuckets = 0): RolloutEvidence {
   const names = new Set([...Object.keys(evidence.routes), ...Object.keys(interval.baseline), ...Object.keys(interval.target)])
   const routes: Record<string, RouteComparison> = {}
   let requests = 0
   for (const route of names) {
     const target = interval.target[route] ?? emptyCounts
-    routes[route] = compareInterval(evidence.routes[route] ?? emptyComparison, interval.baseline[route] ?? emptyCounts, target)
+    routes[route] = compareInterval(evidence.routes[route] ?? emptyComparison, interval.baseline[route] ?? emptyCounts, target, gapToleranceBuckets)
     requests += target.completed + target.failed
   }
   return { ...evidence, routes, requestsAtStep: evidence.requestsAtStep + requests }
@@ -97,6 +97,7 @@
   for (const [route, comparison] of Object.entries(evidence.routes)) {
     if (comparison.failureEvidence >= alarmThreshold) return `failures on ${route}`
     if (comparison.slowEvidence >= alarmThreshold) return `slow on ${route}`
+    if (comparison.gapEvidence >= alarmThreshold) return `slow streams on ${route}`
   }
   return undefined
 }
@@ -118,7 +119,7 @@
   const isOverdue = state.moveByMs !== undefined && timeAtStepMs >= 2 * scheduledStepMs
   if (isOverdue) return true
   const isSuspicious = Object.values(evidence.routes)
-    .some(route => Math.max(route.failureEvidence, route.slowEvidence) >= suspicionThreshold)
+    .some(route => Math.max(route.failureEvidence, route.slowEvidence, route.gapEvidence) >= suspicionThreshold)
   if (isSuspicious || timeAtStepMs < scheduledStepMs) return false
   return evidence.requestsAtStep >= minRequestsPerStep || state.moveByMs !== undefined
 }
--- a/packages/policy/src/shared/rollout/timedRollout.ts
+++ b/packages/policy/src/shared/rollout/timedRollout.ts
@@ -33,6 +33,16 @@
   return steps.find(step => elapsedMs >= step.fromShareOfDuration * durationMs)?.targetShare ?? 0
 }
 
+/** Share up to which the endpoints of the target bear no more load than those of the baseline. */
+const maxLightShare = 0.15
+/** Engines send events more slowly the more streams they run, so at larger shares the target may take twice as long between two events. */
+const loadedGapToleranceBuckets = 4
+
+/** Buckets by which the time between events at the target may exceed the usual limit at this point of a rollout. */
+export function gapToleranceBuckets (elapsedMs: number, durationMs: number): number {
+  return timedTargetShare(elapsedMs, durationMs) <= maxLightShare ? 0 : loadedGapToleranceBuckets
+}
+
 export interface TimedRolloutInput {
   readonly evidence: RolloutEvidence
   readonly elapsedMs: number
