Drop requests of callers that left before they are sent on

After a delay of the event loop, a router read requests whose callers had already closed their connections, and sent them on (GONE): the end of a connection is read one iteration of the event loop after the request. Now two iterations pass before a request is placed, and it is dropped if its connection has ended.

--- a/packages/gateway/src/node/callInput.ts
+++ b/packages/gateway/src/node/callInput.ts
@@ -18,6 +18,16 @@
   readonly deadlineAtMs: number
 }
 
+/**
+ * Whether the caller closed its connection. After a delay of the event loop, the
+ * end of a connection is read one iteration later than the request before it.
+ */
+export async function hasCallerLeft ({ request: { socket } }: CallInput): Promise<boolean> {
+  // The first one is called before the event loop reads from sockets again, the second one after.
+  for (let iteration = 0; iteration < 2; iteration++) await new Promise(resolve => { setImmediate(resolve) })
+  return socket.destroyed || socket.readableEnded
+}
+
 /** Content by which the request is recognised when its caller sends it again. */
 export function contentOf ({ request, attributes, body }: CallInput): CallContent {
   // The last part of a prompt is unique to its request.
--- a/packages/gateway/src/node/callRun.ts
+++ b/packages/gateway/src/node/callRun.ts
@@ -5,7 +5,7 @@
 import type { Route } from '../shared/fleet.ts'
 import { ResponseTimings } from '../shared/responseTimings.ts'
 import { sendFailure } from './sendFailure.ts'
-import type { CallInput } from './callInput.ts'
+import { hasCallerLeft, type CallInput } from './callInput.ts'
 import { CallBudget, failureOf } from './callBudget.ts'
 import { CallCrashRecord } from './callCrashRecord.ts'
 import { CallerResponse } from './callerResponse.ts'
@@ -57,7 +57,8 @@
     const { response, deadlineAtMs } = this.#input
     response.on('close', () => { if (!this.#isDone) this.#onCallerDisconnect() })
     this.#deadlineTimer = setTimeout(() => { this.#onDeadline() }, Math.max(0, deadlineAtMs - this.#state.clock.nowMs()))
-    if (!await this.#reserveBudget()) return
+    if (await hasCallerLeft(this.#input)) this.#onCallerDisconnect()
+    if (this.#isDone || !await this.#reserveBudget()) return
     if (!this.#isDone) this.#attempt()
   }
 
