Judge a slow version by all routes together and hold its share under suspicion

Cause: at a share of 7 % each route gives one sample every 0.8 s, and a sample shows 2 s late, so the share was raised to 100 % before the evidence of any one route sufficed; and where the baseline bore much load, its 95th percentile of the time between events lay above that of a slow endpoint without load.

Change: evidence of all routes is added up beside that of each route; the time between events is compared at the 75th percentile times 1.4; while the evidence reaches a third of the alarm, the controller tells the routers to keep the share, and a version under suspicion at the end of its time is rolled back.

--- a/packages/gateway/src/node/peerServer.ts
+++ b/packages/gateway/src/node/peerServer.ts
@@ -2,10 +2,10 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type * as z from 'zod/mini'
 import { loanRequestSchema, type LoanReply, type LoanRequest } from '../shared/loans.ts'
-import { outcomeReportSchema, type OutcomeReportMessage } from '../shared/outcomes.ts'
+import { outcomeReportSchema, type OutcomeReportMessage, type ReportReply } from '../shared/outcomes.ts'
 import { clockPath, type ClockAnswer } from './clockPeers.ts'
 import { loansPath } from './loanClient.ts'
-import { outcomesPath } from './outcomeClient.ts'
+import { outcomesPath, replyStatuses } from './outcomeClient.ts'
 import { readBody } from './readBody.ts'
 
 const maxBodyBytes = 256 * 1024
@@ -13,8 +13,8 @@
 export interface PeerServerOptions {
   lend (request: LoanRequest): Promise<LoanReply>
   readClock (): ClockAnswer
-  /** Takes a report of outcomes. Returns false if this router does not control the rollout. */
-  receiveOutcomes (report: OutcomeReportMessage): boolean
+  /** Takes a report of outcomes. */
+  receiveOutcomes (report: OutcomeReportMessage): ReportReply
 }
 
 function parse<Schema extends z.ZodMiniType> (schema: Schema, body: Buffer | undefined): z.infer<Schema> | undefined {
@@ -45,7 +45,7 @@
         return
       case outcomesPath: {
         const report = parse(outcomeReportSchema, body)
-        sendStatus(response, report === undefined ? 400 : receiveOutcomes(report) ? 200 : 409)
+        sendStatus(response, report === undefined ? 400 : replyStatuses[receiveOutcomes(report)])
         return
       }
       case loansPath: {
--- a/packages/gateway/src/node/rollouts.ts
+++ b/packages/gateway/src/node/rollouts.ts
@@ -5,10 +5,10 @@
  * at once when its own outcomes show a fault.
  */
 import type { Log, TimerService, Unsubscribe } from '@buckthorndrift/kernel'
-import { addInterval, decideTimedRollout, evaluationIntervalMs, gapToleranceBuckets, LocalObserver, newEvidence, poolCounts, PooledIntervals, timedTargetShare, type Observation, type ObservedCounts, type RolloutEvidence } from '@buckthorndrift/policy'
+import { addInterval, decideTimedRollout, evaluationIntervalMs, gapToleranceBuckets, isUnderSuspicion, LocalObserver, newEvidence, poolCounts, PooledIntervals, timedTargetShare, type Observation, type ObservedCounts, type RolloutEvidence } from '@buckthorndrift/policy'
 import type { Dialect } from '../shared/dialect.ts'
 import type { EndpointEntry, RolloutOrder } from '../shared/fleet.ts'
-import type { OutcomeReportMessage } from '../shared/outcomes.ts'
+import type { OutcomeReportMessage, ReportReply } from '../shared/outcomes.ts'
 import type { FleetStore, StoredObject } from '../shared/store.ts'
 import { VersionGate } from '../shared/versionGate.ts'
 import type { OutcomeClient } from './outcomeClient.ts'
@@ -44,6 +44,8 @@
   evidence: RolloutEvidence
   pooled: PooledIntervals
   controllerFailingSinceMs: number | undefined
+  /** Share that the target keeps while it is under suspicion. */
+  heldShare: number | undefined
   isWriting: boolean
   /** Era of the store in which the result became known; `undefined` while there is none. */
   resultEra: number | undefined
@@ -82,7 +84,7 @@
       return
     }
     const rollout: ActiveRollout = {
-      name: object.name, order, revision: object.revision, seenAtMs: this.#nowMs(), evidence: newEvidence(order.target), pooled: new PooledIntervals(), controllerFailingSinceMs: undefined, isWriting: false, resultEra: isOpen(order) ? undefined : this.#options.store.era()
+      name: object.name, order, revision: object.revision, seenAtMs: this.#nowMs(), evidence: newEvidence(order.target), pooled: new PooledIntervals(), controllerFailingSinceMs: undefined, heldShare: undefined, isWriting: false, resultEra: isOpen(order) ? undefined : this.#options.store.era()
     }
     this.#active.set(order.service, rollout)
     this.#logOrder(rollout)
@@ -109,12 +111,12 @@
     this.#observer.record(endpoint.service, group, route, observation)
   }
 
-  /** Takes the report of another router. Returns whether this router controls the rollout. */
-  receiveReport ({ service, target, routerId, interval, counts }: OutcomeReportMessage): boolean {
+  /** Takes the report of another router. */
+  receiveReport ({ service, target, routerId, interval, counts }: OutcomeReportMessage): ReportReply {
     const rollout = this.#active.get(service)
-    if (rollout === undefined || rollout.order.target !== target || !this.#isController(rollout)) return false
+    if (rollout === undefined || rollout.order.target !== target || !this.#isController(rollout)) return 'rejected'
     rollout.pooled.receive({ routerId, interval, counts })
-    return true
+    return rollout.heldShare === undefined ? 'accepted' : 'suspicious'
   }
 
   #nowMs (): number {
@@ -130,11 +132,17 @@
   #targetShare (rollout: ActiveRollout, nowMs: number): number {
     const { order } = rollout
     if (this.#observer.isStopped(order.service, targetGroup, nowMs)) return 0
-    return timedTargetShare(this.#elapsedMs(rollout), order.durationMs)
+    return timedTargetShare(this.#elapsedMs(rollout), order.durationMs, rollout.heldShare)
   }
 
   #gapToleranceBuckets (rollout: ActiveRollout): number {
-    return gapToleranceBuckets(this.#elapsedMs(rollout), rollout.order.durationMs)
+    return gapToleranceBuckets(this.#targetShare(rollout, this.#nowMs()))
+  }
+
+  /** Holds the share of the target while it is under suspicion. */
+  #holdShare (rollout: ActiveRollout, isSuspicious: boolean): void {
+    if (!isSuspicious) rollout.heldShare = undefined
+    else rollout.heldShare ??= this.#targetShare(rollout, this.#nowMs())
   }
 
   #isController ({ order }: ActiveRollout): boolean {
@@ -193,6 +201,7 @@
     const { service, target, durationMs } = rollout.order
     rollout.pooled.receive({ routerId: this.#options.holder, interval: this.#interval, counts })
     rollout.evidence = addInterval(rollout.evidence, poolCounts(rollout.pooled.take(), service, baselineGroup!, targetGroup!), this.#gapToleranceBuckets(rollout))
+    this.#holdShare(rollout, isUnderSuspicion(rollout.evidence))
     const decision = decideTimedRollout({ evidence: rollout.evidence, elapsedMs: this.#elapsedMs(rollout), durationMs, hasTargetEndpoint: this.#options.hasEndpoint(service, target) })
     switch (decision.kind) {
       case 'continue':
@@ -215,8 +224,9 @@
     }
     // Reports without requests at the target would only tell the usual state of the baseline.
     if (control.address === undefined || counts.length === 0) return
-    const isAccepted = await this.#options.client.report(control.address, { service, target, routerId: this.#options.holder, interval: this.#interval, counts: counts.map(each => ({ ...each, latencyBuckets: [...each.latencyBuckets], gapBuckets: [...each.gapBuckets ?? []] })) })
-    if (isAccepted) {
+    const reply = await this.#options.client.report(control.address, { service, target, routerId: this.#options.holder, interval: this.#interval, counts: counts.map(each => ({ ...each, latencyBuckets: [...each.latencyBuckets], gapBuckets: [...each.gapBuckets ?? []] })) })
+    if (reply !== 'rejected') {
+      this.#holdShare(rollout, reply === 'suspicious')
       rollout.controllerFailingSinceMs = undefined
       return
     }
--- a/packages/policy/src/shared/rollout/__tests__/timedRollout.test.ts
+++ b/packages/policy/src/shared/rollout/__tests__/timedRollout.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from 'vitest'
-import { addInterval, decideTimedRollout, evaluationIntervalMs, gapToleranceBuckets, latencyBucketCount, latencyBucketOf, newEvidence, timedTargetShare, type RolloutEvidence, type RouteCounts } from '../index.ts'
+import { addInterval, decideTimedRollout, emptyCounts, evaluationIntervalMs, gapToleranceBuckets, isUnderSuspicion, latencyBucketCount, latencyBucketOf, newEvidence, timedTargetShare, type RolloutEvidence, type RouteCounts } from '../index.ts'
 
 const durationMs = 12_000
 
@@ -18,14 +18,19 @@
   readonly slowdown: number
   /** Factor of the time between two events of a stream. */
   readonly gapFactor?: number
+  /** Time after which the requests of an interval show their outcomes. */
+  readonly lagMs?: number
 }
 
 /** Plays a rollout at an even load. Returns how it ended, and which share of all requests the target got. */
 function play (requestsPerS: number, fault: Fault | undefined): { readonly end: string, readonly endMs: number, readonly exposure: number } {
   let evidence: RolloutEvidence = newEvidence('v2')
   let [targetRequests, elapsedMs] = [0, 0]
+  let heldShare: number | undefined
+  const lagIntervals = Math.round((fault?.lagMs ?? 0) / evaluationIntervalMs)
+  const unseen: Array<{ readonly question: RouteCounts }> = Array.from({ length: lagIntervals }, () => ({ question: emptyCounts }))
   for (; elapsedMs <= durationMs; elapsedMs += evaluationIntervalMs) {
-    const share = timedTargetShare(elapsedMs, durationMs)
+    const share = timedTargetShare(elapsedMs, durationMs, heldShare)
     const requests = requestsPerS * evaluationIntervalMs / 1000
     const atTarget = Math.round(requests * share)
     targetRequests += atTarget
@@ -33,7 +38,9 @@
     const failed = isBad ? Math.round(atTarget * fault.failureShare) : 0
     const target = { question: counts(atTarget - failed, failed, isBad ? 300 * fault.slowdown : 300, isBad ? 40 * (fault.gapFactor ?? 1) : 40) }
     const baseline = { question: counts(Math.round(requests - atTarget), 0, 300) }
-    evidence = addInterval(evidence, { baseline, target }, gapToleranceBuckets(elapsedMs, durationMs))
+    unseen.push(target)
+    evidence = addInterval(evidence, { baseline, target: unseen.shift()! }, gapToleranceBuckets(share))
+    heldShare = isUnderSuspicion(evidence) ? heldShare ?? share : undefined
     const decision = decideTimedRollout({ evidence, elapsedMs, durationMs, hasTargetEndpoint: true })
     if (decision.kind !== 'continue') return { end: decision.kind, endMs: elapsedMs, exposure: targetRequests / (requestsPerS * durationMs / 1000) }
   }
@@ -59,6 +66,7 @@
     ['is eight times as slow', { fromMs: 0, minShare: 0, failureShare: 0, slowdown: 8 }],
     ['sends the events of streams at a third of the usual rate', { fromMs: 0, minShare: 0, failureShare: 0, slowdown: 1, gapFactor: 3 }],
     ['sends the events of streams at a third of the usual rate under load', { fromMs: 0, minShare: 0.25, failureShare: 0, slowdown: 1, gapFactor: 3 }],
+    ['sends the events of streams at a third of the usual rate, which shows after 2 s', { fromMs: 0, minShare: 0, failureShare: 0, slowdown: 1, gapFactor: 3, lagMs: 2100 }],
     ['fails from 3 s on', { fromMs: 3000, minShare: 0, failureShare: 0.5, slowdown: 1 }],
     ['fails only under load', { fromMs: 0, minShare: 0.25, failureShare: 0.5, slowdown: 1 }]
   ])('rolls back a version that %s, with little exposure', (_, fault) => {
--- a/packages/policy/src/shared/rollout/changeDetector.ts
+++ b/packages/policy/src/shared/rollout/changeDetector.ts
@@ -21,10 +21,19 @@
  */
 export const maxEvidencePerInterval = alarmThreshold / 4
 
-/** Evidence after one more interval, in which `events` of `total` requests had the event. Never below 0. */
-export function updateEvidence (evidence: number, events: number, total: number, { expectedRate, badRate }: RateHypotheses): number {
+/** Evidence that `events` of `total` requests give for the bad rate; negative if they speak for the expected one. */
+export function evidenceOf (events: number, total: number, { expectedRate, badRate }: RateHypotheses): number {
   const perEvent = Math.log(badRate / expectedRate)
   const perNonEvent = Math.log((1 - badRate) / (1 - expectedRate))
-  const gained = events * perEvent + (total - events) * perNonEvent
+  return events * perEvent + (total - events) * perNonEvent
+}
+
+/** Evidence after one more interval. Never below 0. */
+export function addEvidence (evidence: number, gained: number): number {
   return Math.max(0, evidence + Math.min(gained, maxEvidencePerInterval))
 }
+
+/** Evidence after one more interval, in which `events` of `total` requests had the event. */
+export function updateEvidence (evidence: number, events: number, total: number, hypotheses: RateHypotheses): number {
+  return addEvidence(evidence, evidenceOf(events, total, hypotheses))
+}
--- a/packages/policy/src/shared/rollout/index.ts
+++ b/packages/policy/src/shared/rollout/index.ts
@@ -1,8 +1,8 @@
 export { latencyBucketCount, latencyBucketOf, quantileBucket } from './latencyBuckets.ts'
-export { alarmThreshold, maxEvidencePerInterval, updateEvidence, type RateHypotheses } from './changeDetector.ts'
+export { addEvidence, alarmThreshold, evidenceOf, maxEvidencePerInterval, updateEvidence, type RateHypotheses } from './changeDetector.ts'
 export { addCounts, compareInterval, emptyComparison, emptyCounts, type RouteComparison, type RouteCounts } from './routeComparison.ts'
 export {
-  addInterval, findRollbackReason, decideRollout, maxStepMs, minStepMs, newEvidence, shareSteps, startRollout, stepDurationMs,
+  addInterval, findRollbackReason, decideRollout, isUnderSuspicion, maxStepMs, minStepMs, newEvidence, shareSteps, startRollout, stepDurationMs,
   type IntervalCounts, type LeaseIdentity, type RolloutEvidence, type RolloutPhase, type RolloutState
 } from './rollout.ts'
 export { decideTimedRollout, evaluationIntervalMs, gapToleranceBuckets, timedTargetShare, type TimedRolloutDecision, type TimedRolloutInput } from './timedRollout.ts'
--- a/packages/policy/src/shared/rollout/rollout.ts
+++ b/packages/policy/src/shared/rollout/rollout.ts
@@ -2,7 +2,7 @@
  * A rollout of one service: its stored state and the decision after each
  * interval. All functions are pure; the holder of the rollout lease stores the state.
  */
-import { alarmThreshold } from './changeDetector.ts'
+import { addEvidence, alarmThreshold } from './changeDetector.ts'
 import { compareInterval, emptyComparison, emptyCounts, type RouteComparison, type RouteCounts } from './routeComparison.ts'
 
 export type RolloutPhase =
@@ -57,6 +57,9 @@
   readonly target: string
   readonly routes: Readonly<Record<string, RouteComparison>>
   readonly requestsAtStep: number
+  /** Evidence of all routes together, because a version that is slow on all of them shows it sooner. */
+  readonly slowEvidence: number
+  readonly gapEvidence: number
 }
 
 /** The lease under which a state is written. */
@@ -70,7 +73,7 @@
 }
 
 export function newEvidence (target: string): RolloutEvidence {
-  return { target, routes: {}, requestsAtStep: 0 }
+  return { target, routes: {}, requestsAtStep: 0, slowEvidence: 0, gapEvidence: 0 }
 }
 
 /** Counts of one interval for both versions, by route. */
@@ -89,11 +92,20 @@
     routes[route] = compareInterval(evidence.routes[route] ?? emptyComparison, interval.baseline[route] ?? emptyCounts, target, gapToleranceBuckets)
     requests += target.completed + target.failed
   }
-  return { ...evidence, routes, requestsAtStep: evidence.requestsAtStep + requests }
+  const comparisons = Object.values(routes)
+  return {
+    ...evidence,
+    routes,
+    requestsAtStep: evidence.requestsAtStep + requests,
+    slowEvidence: addEvidence(evidence.slowEvidence, comparisons.reduce((sum, route) => sum + route.slowGain, 0)),
+    gapEvidence: addEvidence(evidence.gapEvidence, comparisons.reduce((sum, route) => sum + route.gapGain, 0))
+  }
 }
 
 /** Reason to roll the target back; `undefined` when there is none. */
 export function findRollbackReason (evidence: RolloutEvidence): string | undefined {
+  if (evidence.slowEvidence >= alarmThreshold) return 'slow on all routes together'
+  if (evidence.gapEvidence >= alarmThreshold) return 'slow streams on all routes together'
   for (const [route, comparison] of Object.entries(evidence.routes)) {
     if (comparison.failureEvidence >= alarmThreshold) return `failures on ${route}`
     if (comparison.slowEvidence >= alarmThreshold) return `slow on ${route}`
@@ -102,6 +114,12 @@
   return undefined
 }
 
+/** Whether there is evidence against the target that does not suffice to roll it back, so that its share is not increased. */
+export function isUnderSuspicion ({ routes, slowEvidence, gapEvidence }: RolloutEvidence): boolean {
+  const evidences = Object.values(routes).flatMap(route => [route.failureEvidence, route.slowEvidence, route.gapEvidence])
+  return Math.max(slowEvidence, gapEvidence, ...evidences) >= suspicionThreshold
+}
+
 /** Decides the next state from the evidence; returns the same object when nothing changes. */
 export function decideRollout (state: RolloutState, evidence: RolloutEvidence, nowMs: number): RolloutState {
   if (state.phase.kind === 'rolledBack') return state
@@ -118,9 +136,7 @@
   if (isLastStep(state) && state.moveByMs !== undefined && nowMs < state.moveByMs - lastStepMarginMs) return false
   const isOverdue = state.moveByMs !== undefined && timeAtStepMs >= 2 * scheduledStepMs
   if (isOverdue) return true
-  const isSuspicious = Object.values(evidence.routes)
-    .some(route => Math.max(route.failureEvidence, route.slowEvidence, route.gapEvidence) >= suspicionThreshold)
-  if (isSuspicious || timeAtStepMs < scheduledStepMs) return false
+  if (isUnderSuspicion(evidence) || timeAtStepMs < scheduledStepMs) return false
   return evidence.requestsAtStep >= minRequestsPerStep || state.moveByMs !== undefined
 }
 
--- a/packages/policy/src/shared/rollout/routeComparison.ts
+++ b/packages/policy/src/shared/rollout/routeComparison.ts
@@ -1,6 +1,6 @@
 /** Statistical comparison of a target version with its baseline on one route. */
 import { quantileBucket } from './latencyBuckets.ts'
-import { updateEvidence } from './changeDetector.ts'
+import { addEvidence, evidenceOf, updateEvidence } from './changeDetector.ts'
 
 /** Counts of one version on one route in one interval. */
 export interface RouteCounts {
@@ -37,11 +37,14 @@
   readonly slowEvidence: number
   /** Evidence that the events of streams follow each other more slowly. */
   readonly gapEvidence: number
+  /** What the last interval added to `slowEvidence` and `gapEvidence`. */
+  readonly slowGain: number
+  readonly gapGain: number
   /** Requests of the target on this route so far. */
   readonly targetRequests: number
 }
 
-export const emptyComparison: RouteComparison = { baseline: emptyCounts, recentBaseline: emptyCounts, failureEvidence: 0, slowEvidence: 0, gapEvidence: 0, targetRequests: 0 }
+export const emptyComparison: RouteComparison = { baseline: emptyCounts, recentBaseline: emptyCounts, failureEvidence: 0, slowEvidence: 0, gapEvidence: 0, slowGain: 0, gapGain: 0, targetRequests: 0 }
 
 /** Decay factor of the baseline's counts per interval with traffic. With intervals of 1 s, about the last minute counts. */
 const baselineDecay = 0.98
@@ -57,10 +60,21 @@
 const badFailureFactor = 2
 const badFailureMargin = 0.04
 
-/** A request is slow if its latency, or the time between its events, is above the bucket of the baseline's 95th percentile. At most 5% of a good version's requests are. */
-const slowQuantile = 0.95
-const expectedSlowShare = 0.06
-const badSlowMargin = 0.14
+/** Above which duration a request is slow, and how many are at a good and at a bad version. */
+interface SlowLimit {
+  /** Quantile of the baseline. */
+  readonly quantile: number
+  /** Buckets above that quantile. */
+  readonly toleranceBuckets: number
+  readonly expectedShare: number
+  /** By how much more requests of a bad version are slow. */
+  readonly badMargin: number
+}
+
+/** The first event of a few requests is late at a good version too, when a long prompt is read before them. */
+const latencyLimit: SlowLimit = { quantile: 0.95, toleranceBuckets: 0, expectedShare: 0.06, badMargin: 0.14 }
+/** The time between events depends on the load of the endpoint, so that of the baseline spreads widely, and a slow endpoint with little load may stay below its 95th percentile. */
+const gapLimit: SlowLimit = { quantile: 0.75, toleranceBuckets: 2, expectedShare: 0.15, badMargin: 0.35 }
 
 /** Without concurrent baseline traffic, only latencies above twice the usual limit count as slow: the limit is this many buckets higher. */
 const unpairedToleranceBuckets = 4
@@ -85,17 +99,21 @@
 export function compareInterval (comparison: RouteComparison, baseline: RouteCounts, target: RouteCounts, gapToleranceBuckets = 0): RouteComparison {
   const updatedBaseline = hasTraffic(baseline) ? addCounts(decay(comparison.baseline, baselineDecay), baseline) : comparison.baseline
   const recentBaseline = addCounts(decay(comparison.recentBaseline, recentDecay), baseline)
-  const next = { ...comparison, baseline: updatedBaseline, recentBaseline }
+  const next = { ...comparison, baseline: updatedBaseline, recentBaseline, slowGain: 0, gapGain: 0 }
   if (!hasTraffic(target)) return next
+  const slowGain = slowEvidenceOf(latencyLimit, {
+    usual: updatedBaseline.latencyBuckets, recent: recentBaseline.latencyBuckets, target: target.latencyBuckets, toleranceBuckets: 0
+  })
+  const gapGain = slowEvidenceOf(gapLimit, {
+    usual: updatedBaseline.gapBuckets ?? [], recent: recentBaseline.gapBuckets ?? [], target: target.gapBuckets ?? [], toleranceBuckets: gapToleranceBuckets
+  })
   return {
     ...next,
     failureEvidence: updateFailureEvidence(next, target),
-    slowEvidence: updateSlowEvidence(next.slowEvidence, {
-      usual: updatedBaseline.latencyBuckets, recent: recentBaseline.latencyBuckets, target: target.latencyBuckets, toleranceBuckets: 0
-    }),
-    gapEvidence: updateSlowEvidence(next.gapEvidence, {
-      usual: updatedBaseline.gapBuckets ?? [], recent: recentBaseline.gapBuckets ?? [], target: target.gapBuckets ?? [], toleranceBuckets: gapToleranceBuckets
-    }),
+    slowEvidence: addEvidence(next.slowEvidence, slowGain),
+    gapEvidence: addEvidence(next.gapEvidence, gapGain),
+    slowGain,
+    gapGain,
     targetRequests: next.targetRequests + target.completed + target.failed
   }
 }
@@ -138,15 +156,16 @@
   readonly toleranceBuckets: number
 }
 
-function updateSlowEvidence (evidence: number, { usual, recent, target, toleranceBuckets }: DurationSamples): number {
-  if (totalOf(usual) < minBaselineForLatency) return evidence
+/** Evidence that the target is slow; 0 while the baseline is too small to compare. */
+function slowEvidenceOf ({ quantile, toleranceBuckets: usualToleranceBuckets, expectedShare, badMargin }: SlowLimit, { usual, recent, target, toleranceBuckets }: DurationSamples): number {
+  if (totalOf(usual) < minBaselineForLatency) return 0
   const recentTotal = totalOf(recent)
   const tolerance = recentTotal >= minRecentRequests ? toleranceBuckets : Math.max(toleranceBuckets, unpairedToleranceBuckets)
-  const limit = quantileBucket(usual, slowQuantile) + tolerance
-  const currentShare = smoothedRate(totalOf(recent.slice(limit + 1)), recentTotal, expectedSlowShare)
-  const expectedRate = Math.min(maxExpectedRate, Math.max(expectedSlowShare, currentShare))
-  const badRate = Math.min(maxBadRate, expectedRate + badSlowMargin)
-  return updateEvidence(evidence, totalOf(target.slice(limit + 1)), totalOf(target), { expectedRate, badRate })
+  const limit = quantileBucket(usual, quantile) + usualToleranceBuckets + tolerance
+  const currentShare = smoothedRate(totalOf(recent.slice(limit + 1)), recentTotal, expectedShare)
+  const expectedRate = Math.min(maxExpectedRate, Math.max(expectedShare, currentShare))
+  const badRate = Math.min(maxBadRate, expectedRate + badMargin)
+  return evidenceOf(totalOf(target.slice(limit + 1)), totalOf(target), { expectedRate, badRate })
 }
 
 function totalOf (buckets: readonly number[]): number {
--- a/packages/policy/src/shared/rollout/timedRollout.ts
+++ b/packages/policy/src/shared/rollout/timedRollout.ts
@@ -1,5 +1,5 @@
 /** Decisions of a rollout that has to end by a set time: which share of the requests goes to the target version, and when the rollout ends. */
-import { findRollbackReason, type RolloutEvidence } from './rollout.ts'
+import { findRollbackReason, isUnderSuspicion, type RolloutEvidence } from './rollout.ts'
 
 /** Interval at which outcomes are evaluated. Evidence grows by a limited amount in each, so the interval bounds how fast a fault under load is noticed. */
 export const evaluationIntervalMs = 300
@@ -29,18 +29,20 @@
 /** Requests that the target has to have answered, if there were any. */
 const minTargetRequests = 10
 
-export function timedTargetShare (elapsedMs: number, durationMs: number): number {
-  return steps.find(step => elapsedMs >= step.fromShareOfDuration * durationMs)?.targetShare ?? 0
+/** Share of the target. While the target is under suspicion, it keeps `heldShare`, the one that it had before. */
+export function timedTargetShare (elapsedMs: number, durationMs: number, heldShare = 1): number {
+  const share = steps.find(step => elapsedMs >= step.fromShareOfDuration * durationMs)?.targetShare ?? 0
+  return Math.min(share, heldShare)
 }
 
 /** Share up to which the endpoints of the target bear no more load than those of the baseline. */
 const maxLightShare = 0.15
-/** Engines send events more slowly the more streams they run, so at larger shares the target may take twice as long between two events. */
-const loadedGapToleranceBuckets = 4
+/** Engines send events more slowly the more streams they run, so at larger shares the time between two events at the target may be longer by this factor of 1.4. */
+const loadedGapToleranceBuckets = 2
 
-/** Buckets by which the time between events at the target may exceed the usual limit at this point of a rollout. */
-export function gapToleranceBuckets (elapsedMs: number, durationMs: number): number {
-  return timedTargetShare(elapsedMs, durationMs) <= maxLightShare ? 0 : loadedGapToleranceBuckets
+/** Buckets by which the time between events at the target may exceed the usual limit at this share. */
+export function gapToleranceBuckets (targetShare: number): number {
+  return targetShare <= maxLightShare ? 0 : loadedGapToleranceBuckets
 }
 
 export interface TimedRolloutInput {
@@ -63,5 +65,7 @@
   const targetRequests = comparisons.reduce((sum, route) => sum + route.targetRequests, 0)
   const hasTraffic = comparisons.some(route => route.baseline.completed + route.baseline.failed > 0)
   const isProven = targetRequests >= minTargetRequests || !hasTraffic
-  return elapsedMs >= completionShare * durationMs && hasTargetEndpoint && isProven ? { kind: 'complete' } : { kind: 'continue' }
+  if (elapsedMs < completionShare * durationMs || !hasTargetEndpoint || !isProven) return { kind: 'continue' }
+  // A bad version that is kept harms callers more than a good one that has to be ordered again.
+  return isUnderSuspicion(evidence) ? { kind: 'rollBack', reason: 'under suspicion at the end of the rollout' } : { kind: 'complete' }
 }
