--- a/packages/gateway/src/node/loadMeter.ts
+++ b/packages/gateway/src/node/loadMeter.ts
@@ -1,7 +1,7 @@
 /** Measures how much this process uses of the network link of the VM and of its own processor share, and reports it to the overload guard. */
 import type { Socket } from 'node:net'
 import type { TimerService, Unsubscribe } from '@buckthorndrift/kernel'
-import { RateUtilization, type OverloadGuard } from '@buckthorndrift/policy'
+import { linkAveragingMs, processorAveragingMs, RateUtilization, type OverloadGuard } from '@buckthorndrift/policy'
 
 const sampleIntervalMs = 200
 const bitsPerByte = 8
@@ -41,16 +41,16 @@
     const nowMs = timers.monotonicMs()
     const bytesPerMs = (linkMbps ?? Infinity) * 1e6 / bitsPerByte / msPerS
     const { readBytes, writtenBytes } = this.#linkBytes()
-    const readUse = new RateUtilization(bytesPerMs, readBytes, nowMs)
-    const writtenUse = new RateUtilization(bytesPerMs, writtenBytes, nowMs)
-    const processorUse = new RateUtilization(processorCores ?? Infinity, processorMs(), nowMs)
+    const readUse = new RateUtilization(bytesPerMs, linkAveragingMs, readBytes, nowMs)
+    const writtenUse = new RateUtilization(bytesPerMs, linkAveragingMs, writtenBytes, nowMs)
+    const processorUse = new RateUtilization(processorCores ?? Infinity, processorAveragingMs, processorMs(), nowMs)
     this.#stopSampling = timers.every(sampleIntervalMs, () => {
       const sampledMs = timers.monotonicMs()
       const bytes = this.#linkBytes()
       readUse.addSample(bytes.readBytes, sampledMs)
       writtenUse.addSample(bytes.writtenBytes, sampledMs)
       processorUse.addSample(processorMs(), sampledMs)
-      guard.update(Math.max(readUse.share, writtenUse.share, processorUse.share), sampledMs)
+      guard.update({ link: Math.max(readUse.share, writtenUse.share), processor: processorUse.share }, sampledMs)
     })
   }
 
--- a/packages/policy/src/shared/overload/__tests__/overload.test.ts
+++ b/packages/policy/src/shared/overload/__tests__/overload.test.ts
@@ -1,12 +1,12 @@
 import { describe, expect, it } from 'vitest'
-import { OverloadGuard, RateUtilization } from '../index.ts'
+import { linkAveragingMs, OverloadGuard, processorAveragingMs, RateUtilization } from '../index.ts'
 
 /** Capacity of a link of 10 Mbit/s. */
 const bytesPerMs = 1250
 
 describe('RateUtilization', () => {
   function shareAfter (durationMs: number, perMs: number): number {
-    const use = new RateUtilization(bytesPerMs, 0, 0)
+    const use = new RateUtilization(bytesPerMs, linkAveragingMs, 0, 0)
     for (let nowMs = 200; nowMs <= durationMs; nowMs += 200) use.addSample(perMs * nowMs, nowMs)
     return use.share
   }
@@ -20,7 +20,7 @@
   })
 
   it('does not report a saturated link after one large body', () => {
-    const use = new RateUtilization(bytesPerMs, 0, 0)
+    const use = new RateUtilization(bytesPerMs, linkAveragingMs, 0, 0)
     use.addSample(72_000, 200)
     expect(use.share).toBeLessThan(0.1)
   })
@@ -42,7 +42,7 @@
 /** Simulates requests on a link, on which bytes beyond the capacity queue. */
 function simulate (flows: readonly Flow[], guard: OverloadGuard | undefined, durationMs: number): SimulationResult {
   const stepMs = 50
-  const link = new RateUtilization(bytesPerMs, 0, 0)
+  const link = new RateUtilization(bytesPerMs, linkAveragingMs, 0, 0)
   const served = [0, 0, 0]
   const refused = [0, 0, 0]
   const due = flows.map(() => 0)
@@ -65,7 +65,7 @@
     queuedBytes = Math.max(0, queuedBytes - bytesPerMs * stepMs)
     longestQueueMs = Math.max(longestQueueMs, queuedBytes / bytesPerMs)
     link.addSample(offeredBytes, nowMs)
-    guard?.update(link.share, nowMs)
+    guard?.update({ link: link.share, processor: 0 }, nowMs)
   }
   return { served, refused, longestQueueMs }
 }
@@ -95,20 +95,36 @@
 
   it('diverts new connections before it refuses requests, and stops diverting only at a clearly lower utilization', () => {
     const guard = new OverloadGuard()
-    guard.update(0.7, 0)
+    guard.update({ link: 0.7, processor: 0 }, 0)
     expect([guard.isDiverting, guard.admits(2)]).toEqual([true, true])
-    guard.update(0.5, 10_000)
+    guard.update({ link: 0.5, processor: 0 }, 10_000)
     expect(guard.isDiverting).toBe(true)
-    guard.update(0.3, 20_000)
+    guard.update({ link: 0.3, processor: 0 }, 20_000)
     expect(guard.isDiverting).toBe(false)
   })
 
   it('diverts for a minimum time, so that the callers that overloaded the router do not return at once', () => {
     const guard = new OverloadGuard()
-    guard.update(0.9, 0)
-    guard.update(0.1, 1000)
+    guard.update({ link: 0.9, processor: 0 }, 0)
+    guard.update({ link: 0.1, processor: 0 }, 1000)
     expect(guard.isDiverting).toBe(true)
-    guard.update(0.1, 8000)
+    guard.update({ link: 0.1, processor: 0 }, 8000)
     expect(guard.isDiverting).toBe(false)
   })
+
+  // Guards against refusals for a burst of the processor, such as that of a large configuration, which delays requests by less than a refusal does.
+  it('refuses nothing when the processor of a small VM is busy for 300 ms, and refuses by rank when it stays busy', () => {
+    const guard = new OverloadGuard()
+    const processor = new RateUtilization(0.12, processorAveragingMs, 0, 0)
+    const play = (fromMs: number, untilMs: number, busyUntilMs: number): void => {
+      for (let nowMs = fromMs; nowMs <= untilMs; nowMs += 100) {
+        processor.addSample(0.12 * (0.3 * nowMs + 0.7 * Math.min(nowMs, busyUntilMs)), nowMs)
+        guard.update({ link: 0.1, processor: processor.share }, nowMs)
+        if (busyUntilMs < untilMs) expect([0, 1, 2].map(rank => guard.admits(rank))).toEqual([true, true, true])
+      }
+    }
+    play(100, 1000, 300)
+    play(1100, 12_000, 12_000)
+    expect([0, 1, 2].map(rank => guard.admits(rank))).toEqual([true, true, false])
+  })
 })
--- a/packages/policy/src/shared/overload/index.ts
+++ b/packages/policy/src/shared/overload/index.ts
@@ -1,2 +1,2 @@
-export { OverloadGuard } from './overloadGuard.ts'
-export { RateUtilization } from './rateUtilization.ts'
+export { OverloadGuard, type ResourceUse } from './overloadGuard.ts'
+export { linkAveragingMs, processorAveragingMs, RateUtilization } from './rateUtilization.ts'
--- a/packages/policy/src/shared/overload/overloadGuard.ts
+++ b/packages/policy/src/shared/overload/overloadGuard.ts
@@ -10,22 +10,33 @@
 const returnThreshold = 0.4
 /** Minimum time of diversion. Callers are assigned by a hash, so those that overloaded this router return with the others. */
 const minDivertMs = 6000
+/**
+ * Weight of the processor. A busy processor delays requests for as long as its backlog
+ * lasts, and short bursts, for example of a new configuration, are common. A full link
+ * loses packets, and delays also the news that a caller has left.
+ */
+const processorWeight = 0.8
 /** Utilization from which requests are refused immediately, by rank; rank 0 is the most urgent. */
 const refuseThresholds: readonly number[] = [0.92, 0.84, 0.76]
 
+export interface ResourceUse {
+  readonly link: number
+  readonly processor: number
+}
+
 export class OverloadGuard {
   #utilization = 0
   #isDiverting = false
   #lastAboveThresholdMs = 0
 
-  /** Updates the utilization, which is that of the scarcest resource. */
-  update (currentUtilization: number, nowMs: number): void {
-    this.#utilization = currentUtilization
-    if (currentUtilization >= divertThreshold) {
+  /** Updates the utilization, which is that of the scarcest resource. Both are shares of what the VM has. */
+  update ({ link, processor }: ResourceUse, nowMs: number): void {
+    this.#utilization = Math.max(link, processor * processorWeight)
+    if (this.#utilization >= divertThreshold) {
       this.#isDiverting = true
       this.#lastAboveThresholdMs = nowMs
     }
-    if (currentUtilization < returnThreshold && nowMs - this.#lastAboveThresholdMs >= minDivertMs) this.#isDiverting = false
+    if (this.#utilization < returnThreshold && nowMs - this.#lastAboveThresholdMs >= minDivertMs) this.#isDiverting = false
   }
 
   get utilization (): number {
