Pass responses without a length on in the same form, and reset the caller where they are truncated

What mended stays mended in another way: where the router knows that such a response is truncated (a reset, an end inside an event, its own stop), it resets the caller's connection in place of closing it.

--- a/packages/gateway/src/node/callerResponse.ts
+++ b/packages/gateway/src/node/callerResponse.ts
@@ -17,7 +17,7 @@
   readonly #dialect: Dialect
   #buffered: Buffer[] = []
   #bufferedBytes = 0
-  #hasLength = false
+  #isFramed = false
 
   constructor (response: ServerResponse, dialect: Dialect) {
     this.#response = response
@@ -33,10 +33,11 @@
   writeHead (head: ResponseHead, closeConnection: boolean): void {
     if (this.#response.headersSent) return
     const headers = this.#dialect.responseHeaders(head.rawHeaders)
-    if (closeConnection) headers.push('Connection', 'close')
-    // A response without a length is sent in chunks, also if the endpoint sent none, so that the caller can tell a truncated response from a complete one.
+    this.#isFramed = head.attributes.isChunked || head.attributes.contentLengthBytes !== undefined
+    // Without a length, the end of the connection marks the end of the response, for the endpoint and for the caller. An endpoint that crashes may close its connection too, so the last chunk would vouch for an end that nobody knows.
+    if (!this.#isFramed) this.#response.removeHeader('Transfer-Encoding')
+    if (closeConnection || !this.#isFramed) headers.push('Connection', 'close')
     this.#response.writeHead(head.status, headers)
-    this.#hasLength = head.attributes.contentLengthBytes !== undefined
   }
 
   /** Sends bytes to the caller, and pauses the source until the caller has read them. */
@@ -66,10 +67,9 @@
     this.#response.end()
   }
 
-  /** Closes the connection of the caller, so that a truncated response does not look complete. To a caller of HTTP/1.0, which knows no chunks, only a reset shows this. */
+  /** Closes the connection of the caller, so that a truncated response does not look complete. Without a length or chunks, only a reset shows this. */
   closeConnection (): void {
-    const { socket, chunkedEncoding } = this.#response
-    if (this.#hasLength || chunkedEncoding) this.#response.destroy()
-    else socket?.resetAndDestroy()
+    if (this.#isFramed) this.#response.destroy()
+    else this.#response.socket?.resetAndDestroy()
   }
 }
--- a/packages/gateway/src/node/callerServer.ts
+++ b/packages/gateway/src/node/callerServer.ts
@@ -1,5 +1,6 @@
 /** HTTP server for callers: reads and admits their requests. */
 import { createServer, STATUS_CODES, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
 import { notRun, type Failure, type FailureReason } from '@buckthorndrift/policy'
 import type { CallerLimits, Organisation, Route } from '../shared/fleet.ts'
@@ -36,7 +37,7 @@
   readonly server: Server
   readonly #state: GatewayState
   /** Connections with a request that is not answered yet. */
-  readonly #answering = new WeakSet<Duplex>()
+  readonly #answering = new Set<Duplex>()
   readonly #unreadable = new WeakSet<Duplex>()
   #stoppingSinceMs: number | undefined
 
@@ -68,6 +69,11 @@
     this.#stoppingSinceMs = this.#state.clock.nowMs()
   }
 
+  /** Resets the connections whose responses are not complete. A response without a length would look complete if its connection were closed. */
+  resetUnfinished (): void {
+    for (const socket of this.#answering) (socket as Socket).resetAndDestroy()
+  }
+
   async #handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
     const arrivedMs = this.#state.clock.nowMs()
     this.#state.openRequests++
--- a/packages/gateway/src/node/startGateway.ts
+++ b/packages/gateway/src/node/startGateway.ts
@@ -146,6 +146,7 @@
   function closeListeners (): void {
     void loanClient.close()
     void outcomeClient.close()
+    callers.resetUnfinished()
     for (const server of servers) {
       server.close()
       server.closeAllConnections()
