Complete a version under suspicion later instead of rolling it back

Further requests either confirm the suspicion or end it, so the rollout goes on with the share that it has.

--- a/packages/policy/src/shared/rollout/__tests__/timedRollout.test.ts
+++ b/packages/policy/src/shared/rollout/__tests__/timedRollout.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from 'vitest'
-import { addInterval, decideTimedRollout, emptyCounts, evaluationIntervalMs, gapToleranceBuckets, isUnderSuspicion, latencyBucketCount, latencyBucketOf, newEvidence, timedTargetShare, type RolloutEvidence, type RouteCounts } from '../index.ts'
+import { addInterval, alarmThreshold, decideTimedRollout, emptyCounts, evaluationIntervalMs, gapToleranceBuckets, isUnderSuspicion, latencyBucketCount, latencyBucketOf, newEvidence, timedTargetShare, type RolloutEvidence, type RouteCounts } from '../index.ts'
 
 const durationMs = 12_000
 
@@ -77,6 +77,13 @@
     }
   })
 
+  it('is neither completed nor rolled back at its end while the target is under suspicion', () => {
+    const evidence: RolloutEvidence = { ...newEvidence('v2'), slowEvidence: alarmThreshold / 2 }
+    const input = { elapsedMs: durationMs, durationMs, hasTargetEndpoint: true }
+    expect(decideTimedRollout({ ...input, evidence }).kind).toBe('continue')
+    expect(decideTimedRollout({ ...input, evidence: { ...evidence, slowEvidence: 0 } }).kind).toBe('complete')
+  })
+
   it('is not completed without an endpoint of the target', () => {
     expect(decideTimedRollout({ evidence: newEvidence('v2'), elapsedMs: durationMs, durationMs, hasTargetEndpoint: false }).kind).toBe('continue')
   })
--- a/packages/policy/src/shared/rollout/timedRollout.ts
+++ b/packages/policy/src/shared/rollout/timedRollout.ts
@@ -66,6 +66,6 @@
   const hasTraffic = comparisons.some(route => route.baseline.completed + route.baseline.failed > 0)
   const isProven = targetRequests >= minTargetRequests || !hasTraffic
   if (elapsedMs < completionShare * durationMs || !hasTargetEndpoint || !isProven) return { kind: 'continue' }
-  // A bad version that is kept harms callers more than a good one that has to be ordered again.
-  return isUnderSuspicion(evidence) ? { kind: 'rollBack', reason: 'under suspicion at the end of the rollout' } : { kind: 'complete' }
+  // Further requests either confirm a suspicion or end it, so a good version is completed a little later.
+  return isUnderSuspicion(evidence) ? { kind: 'continue' } : { kind: 'complete' }
 }
