Do not blame a version that has all requests for a change of the load

Cause: what an operator saw was a good version rolled back shortly before its end. Once the target has all requests, the baseline's recent counts decay by 0.7 per interval of 300 ms. For that time new latencies of the target were compared, without tolerance, with those that the baseline had before the load moved.

The tolerance of a factor of two for a missing baseline then begins with the last step.

Conclusion: the fault is in the choice of what is compared, not in the thresholds, which stay as they are.

--- a/packages/policy/src/shared/rollout/routeComparison.ts
+++ b/packages/policy/src/shared/rollout/routeComparison.ts
@@ -76,7 +76,10 @@
 /** The time between events depends on the load of the endpoint, so that of the baseline spreads widely, and a slow endpoint with little load may stay below its 95th percentile. */
 const gapLimit: SlowLimit = { quantile: 0.75, toleranceBuckets: 2, expectedShare: 0.15, badMargin: 0.35 }
 
-/** Without concurrent baseline traffic, only latencies above twice the usual limit count as slow: the limit is this many buckets higher. */
+/**
+ * While the baseline has fewer recent requests than the target, as when the target has all of them, a change of the load
+ * shows at the target alone. Only latencies above twice the usual limit count as slow then: the limit is this many buckets higher.
+ */
 const unpairedToleranceBuckets = 4
 
 /** Number of requests at which a recent rate has the same weight as the expected rate. */
@@ -86,9 +89,6 @@
 const maxExpectedRate = 0.6
 const maxBadRate = 0.9
 
-/** Recent requests below which the baseline counts as having no concurrent traffic. */
-const minRecentRequests = 1
-
 /** Minimum number of baseline requests for a latency comparison. */
 const minBaselineForLatency = 40
 
@@ -160,7 +160,7 @@
 function slowEvidenceOf ({ quantile, toleranceBuckets: usualToleranceBuckets, expectedShare, badMargin }: SlowLimit, { usual, recent, target, toleranceBuckets }: DurationSamples): number {
   if (totalOf(usual) < minBaselineForLatency) return 0
   const recentTotal = totalOf(recent)
-  const tolerance = recentTotal >= minRecentRequests ? toleranceBuckets : Math.max(toleranceBuckets, unpairedToleranceBuckets)
+  const tolerance = recentTotal >= totalOf(target) ? toleranceBuckets : Math.max(toleranceBuckets, unpairedToleranceBuckets)
   const limit = quantileBucket(usual, quantile) + usualToleranceBuckets + tolerance
   const currentShare = smoothedRate(totalOf(recent.slice(limit + 1)), recentTotal, expectedShare)
   const expectedRate = Math.min(maxExpectedRate, Math.max(expectedShare, currentShare))
