Answer requests for tokens in time while the store does not respond

What callers saw: in the first seconds of a store outage that swallows calls, requests got 504 at their deadline, and routers gave up a lender that was alive.

Cause: a request that does not fit into the released part of a grant waits for the router's report. The wait was bounded only between two calls to the store, and a call without response lasts 0.8 s, twice in a row. Tokens that the grant's line released meanwhile were not used. A lender in that state answered its borrowers after they had given up.

Evidence: trace of loans.test.ts with 20 ms between requests. The lender held 10,000 tokens, 6,906 of them unreleased; the borrower's message timed out after 353 ms, three requests were held for 391, 390 and 332 ms, and the lender refused the first of them 1.2 s after it had been asked.

Ruled out: the loan client's timeout, which already adds 150 ms to the wait that it asks for; the outage probes, which start only after two failed calls.

Change: timers end the wait of a request at its limit, and serve the waiting requests when the line releases their tokens, also while a call is in flight. What a grant releases does not change.

--- a/packages/gateway/src/node/grantRelease.ts
+++ b/packages/gateway/src/node/grantRelease.ts
@@ -52,6 +52,17 @@
     })
   }
 
+  /**
+   * Calls `listener` when the line covers `wantedTokens`, and when the request may not wait any longer. A call to the store
+   * that gets no response takes longer than most requests may wait.
+   */
+  callWhenDue ({ maxWaitMs }: Waiter, wantedTokens: number, listener: () => void): void {
+    const { timers } = this.#options
+    const delayMs = this.delayMs(wantedTokens)
+    if (delayMs !== undefined && delayMs < maxWaitMs) timers.after(delayMs, listener)
+    timers.after(maxWaitMs, listener)
+  }
+
   /** Line for the next report; `undefined` when too little of the grant is idle. */
   nextLine (prepaidTokens: number, waitingTokens: number): ReleaseLine | undefined {
     const { slice, timers } = this.#options
--- a/packages/gateway/src/node/organisationLedger.ts
+++ b/packages/gateway/src/node/organisationLedger.ts
@@ -1,6 +1,6 @@
 /** Budget of one organisation at this router: reserves tokens from the slice of this router, and keeps the slice up to date with the ledger object in the store. */
 import {
-  BudgetSlice, isNearlyExhausted, withheldTokens, needsGrantUpdate, sumOtherHolders, planGrant, countRouters, unassignedShare, unassignedTokens, type GrantInput, type LenderEntry, type ReleaseLine
+  BudgetSlice, isNearlyExhausted, leavesForUrgent, needsGrantUpdate, sumOtherHolders, planGrant, countRouters, unassignedShare, unassignedTokens, type GrantInput, type LenderEntry, type ReleaseLine
 } from '@buckthorndrift/policy'
 import type { StoreFailure } from '../shared/store.ts'
 import type { LoanReply, LoanRequest, LoanVerdict } from '../shared/loans.ts'
@@ -79,8 +79,7 @@
       nextLender: current => this.#borrowing === undefined ? current : this.#borrowing.nextLender(current, this.#isClosing),
       isNearlyExhausted: () => isNearlyExhausted(this.#grantInput())
     })
-    const { loans, holder } = options
-    if (loans !== undefined) this.#borrowing = new Borrowing({ ...loans, organisation, holder, slice: this.#slice, log: options.log, nowMs: () => this.#nowMs() })
+    if (options.loans !== undefined) this.#borrowing = new Borrowing({ ...options.loans, organisation, holder: options.holder, slice: this.#slice, log: options.log, nowMs: () => this.#nowMs() })
   }
 
   /** Number of routers that spend from the budget, including this one. */
@@ -110,6 +109,7 @@
         return
       }
       this.#waiting.add(waiter)
+      this.#release.callWhenDue(waiter, this.#waiting.tokens, () => { this.#serveOrRefuse('unavailable') })
       this.update()
     })
   }
@@ -150,7 +150,9 @@
 
   #tryReserve ({ tokens, rank, isLoan }: BudgetRequest): Reservation | undefined {
     const slice = this.#slice
-    if (!this.#leavesHeadroom(tokens, rank)) return undefined
+    // A borrower does not check this, because its lender does.
+    const isRankChecked = rank > 0 && !this.#isOutage && this.#lender() === undefined
+    if (isRankChecked && !leavesForUrgent(this.#prepaidTokens, sumOtherHolders(this.ledgerObject.ledger, this.#options.holder).grantedTokens + slice.ownCommittedTokens + tokens, rank)) return undefined
     if (!slice.tryReserve(tokens, this.#isOutage ? rank : 0, isLoan === true ? undefined : this.#nowMs())) return undefined
     let isSettled = false
     return {
@@ -163,13 +165,6 @@
     }
   }
 
-  /** Whether the reservation leaves the last part of the budget to more urgent requests. A borrower does not check this, because its lender does. */
-  #leavesHeadroom (tokens: number, rank: number): boolean {
-    if (rank === 0 || this.#isOutage || this.#lender() !== undefined) return true
-    const others = sumOtherHolders(this.ledgerObject.ledger, this.#options.holder)
-    return this.#prepaidTokens - others.grantedTokens - this.#slice.ownCommittedTokens - tokens >= withheldTokens(this.#prepaidTokens, rank)
-  }
-
   /** Calls the store or the lender until the waiting requests are served or refused and the slice needs no change. */
   async #reconcile (): Promise<void> {
     const grantedBefore = this.#slice.grantedTokens
@@ -195,9 +190,8 @@
       else this.#options.outage.recordFailure(this.#nowMs())
       if (failure === undefined) continue
       if (!isAnswered) {
-        failures++
-        const refused = failures >= maxFailures ? this.#waiting.takeAll() : this.#waiting.takeExpired(this.#nowMs())
-        for (const waiter of refused) this.#refuse(waiter, failure.kind)
+        this.#serveOrRefuse(failure.kind)
+        if (++failures >= maxFailures) for (const waiter of this.#waiting.takeAll()) this.#refuse(waiter, failure.kind)
         if (this.#waiting.length === 0) return
       }
       const pauseMs = backoffMs * (0.5 + this.#options.random())
@@ -329,6 +323,12 @@
     this.#waiting.serveFitting(request => this.#tryReserve(request))
   }
 
+  /** Serves the requests that the slice covers by now, and refuses those that may not wait any longer. */
+  #serveOrRefuse (storeFailure: StoreFailure['kind']): void {
+    this.#serveWaiters()
+    for (const waiter of this.#waiting.takeExpired(this.#nowMs())) this.#refuse(waiter, storeFailure)
+  }
+
   /** Refuses a request whose tokens are not free. Whether the refusal says that the budget is exhausted depends on the known ledger. */
   #refuse (waiter: Waiter, storeFailure: StoreFailure['kind'] | 'none'): void {
     const { random, outage, log, holder } = this.#options
--- a/packages/gateway/src/node/waitingRequests.ts
+++ b/packages/gateway/src/node/waitingRequests.ts
@@ -9,6 +9,11 @@
     return this.#waiters.length
   }
 
+  /** Tokens of all requests together. */
+  get tokens (): number {
+    return this.#waiters.reduce((sum, { tokens }) => sum + tokens, 0)
+  }
+
   add (waiter: Waiter): void {
     this.#waiters.push(waiter)
   }
--- a/packages/policy/src/shared/ledger/planGrant.ts
+++ b/packages/policy/src/shared/ledger/planGrant.ts
@@ -60,6 +60,11 @@
   return prepaidTokens * (withheldBudgetShares[Math.min(rank, withheldBudgetShares.length - 1)] ?? 0)
 }
 
+/** Whether the last part of a budget is left to more urgent requests when `usedTokens` of it are granted or committed. */
+export function leavesForUrgent (prepaidTokens: number, usedTokens: number, rank: number): boolean {
+  return prepaidTokens - usedTokens >= withheldTokens(prepaidTokens, rank)
+}
+
 /** Tokens that would be granted to no router if this router returned all its uncommitted ones. */
 export function unassignedTokens (input: GrantInput): number {
   return Math.max(0, input.prepaidTokens - input.othersGrantedTokens - input.committedTokens)
