Remove old stored evidence of crashes

Cause: what an operator would see is an ever longer list of `crash-evidence` objects. Each crash adds at least one, each clearance one more, nothing removed them, and every router holds all of them in memory and lists them at its start.

Ruled out: an age limit by the clock. The wall clocks of VMs differ, and the objects carry none; revisions already say which is older.

Change: `planEvidenceRemoval` decides, without a network. A router that stores evidence carries it out after a random delay of up to 5 s; objects that another router removed meanwhile need no call. The store interface gets `remove`.

--- a/packages/gateway/src/node/__tests__/gatewayMetrics.test.ts
+++ b/packages/gateway/src/node/__tests__/gatewayMetrics.test.ts
@@ -43,7 +43,8 @@
       read: () => Promise.resolve(Ok(object)),
       create: () => Promise.resolve(Ok(object)),
       replace: () => Promise.resolve(Err({ kind: 'conflict', object })),
-      replaceStatus: () => Promise.resolve(Ok(object))
+      replaceStatus: () => Promise.resolve(Ok(object)),
+      remove: () => Promise.resolve(Err({ kind: 'notFound' }))
     }
     const metered = meteredStore(store, metrics)
     await metered.replace('budgets', 'firm', {}, 1)
--- a/packages/gateway/src/node/__tests__/loanSafety.test.ts
+++ b/packages/gateway/src/node/__tests__/loanSafety.test.ts
@@ -36,7 +36,8 @@
     read: () => Promise.resolve(object === undefined ? Err({ kind: 'notFound' }) : Ok(object)),
     create: (_kind, _name, value) => Promise.resolve(object === undefined ? maybeLose(Ok(write(value))) : Err({ kind: 'conflict', object })),
     replace: (_kind, _name, value, revision) => Promise.resolve(object?.revision === revision ? maybeLose(Ok(write(value))) : Err({ kind: 'conflict', object })),
-    replaceStatus: () => Promise.resolve(Err({ kind: 'notFound' }))
+    replaceStatus: () => Promise.resolve(Err({ kind: 'notFound' })),
+    remove: () => Promise.resolve(Err({ kind: 'notFound' }))
   }
 }
 
--- a/packages/gateway/src/node/__tests__/organisationLedger.test.ts
+++ b/packages/gateway/src/node/__tests__/organisationLedger.test.ts
@@ -39,7 +39,8 @@
       if (this.writes === 'lostAfter') return Promise.resolve(Err({ kind: 'unavailable', mayHaveApplied: true, detail: 'lost' }))
       return Promise.resolve(Ok(this.object))
     },
-    replaceStatus: () => Promise.resolve(Err({ kind: 'notFound' }))
+    replaceStatus: () => Promise.resolve(Err({ kind: 'notFound' })),
+    remove: () => Promise.resolve(Err({ kind: 'notFound' }))
   }
 }
 
--- a/packages/gateway/src/node/crashTracker.ts
+++ b/packages/gateway/src/node/crashTracker.ts
@@ -4,7 +4,7 @@
  */
 import { createHash, randomBytes } from 'node:crypto'
 import type { Log, TimerService, Unsubscribe } from '@buckthorndrift/kernel'
-import { CrashSuspects } from '@buckthorndrift/policy'
+import { CrashSuspects, maxEvidenceObjects, planEvidenceRemoval, type EvidenceEntry } from '@buckthorndrift/policy'
 import type { EndpointEntry } from '../shared/fleet.ts'
 import { InterruptedRuns, type InterruptedRun } from '../shared/interruptedRuns.ts'
 import { decodeCrashEvidence, type StoredClearance, type StoredCrash, type StoredCrashEvidence } from '../shared/storedCrashes.ts'
@@ -40,6 +40,8 @@
 const crashSeriesMs = 10_000
 /** Longest random delay before a clearance is stored. It collects traits, and other routers that store the same clearance first make it needless. */
 const maxClearanceDelayMs = 400
+/** Longest random delay before needless evidence is removed. Objects that other routers remove first need no call of this one. */
+const maxRemovalDelayMs = 5000
 /** Length of a content hash in hexadecimal digits. */
 const hashLength = 24
 
@@ -49,7 +51,7 @@
   readonly #promptParts = new CrashSuspects({ crashesUntilSuspect: crashesUntilPartSuspect })
   readonly #interrupted = new InterruptedRuns()
   /** Stored evidence by object name. */
-  readonly #known = new Map<string, StoredCrashEvidence>()
+  readonly #known = new Map<string, { readonly evidence: StoredCrashEvidence, readonly revision: number }>()
   /** Evidence that this router has stored, by object name. */
   readonly #published = new Map<string, StoredCrashEvidence>()
   readonly #soundContents = new Set<string>()
@@ -57,6 +59,7 @@
   readonly #subscriptions: readonly Unsubscribe[]
   #isClearanceDue = false
   #isListing = false
+  #isRemovalDue = false
   #lastCrashMs = -Infinity
 
   constructor (options: CrashTrackerOptions) {
@@ -134,7 +137,7 @@
   applyStored ({ name, value, revision }: StoredObject): void {
     const evidence = decodeCrashEvidence(value)
     if (evidence === undefined) return
-    this.#known.set(name, evidence)
+    this.#known.set(name, { evidence, revision })
     switch (evidence.kind) {
       case 'crash':
         this.#addCrash(evidence, revision)
@@ -147,12 +150,20 @@
 
   /** Applies the removal of an object, by which operators lift a suspicion. */
   applyRemoved (name: string): void {
-    const evidence = this.#known.get(name)
+    const evidence = this.#known.get(name)?.evidence
     this.#known.delete(name)
     this.#published.delete(name)
-    if (evidence?.kind !== 'crash') return
-    for (const content of evidence.contents) this.#contents.forgetCrash(content, evidence.crashId)
-    for (const part of evidence.prompts.flat()) this.#promptParts.forgetCrash(part, evidence.crashId)
+    switch (evidence?.kind) {
+      case undefined:
+        return
+      case 'crash':
+        for (const content of evidence.contents) this.#contents.forgetCrash(content, evidence.crashId)
+        for (const part of evidence.prompts.flat()) this.#promptParts.forgetCrash(part, evidence.crashId)
+        return
+      case 'clearance':
+        for (const content of evidence.contents) this.#contents.forgetClearance(content)
+        for (const part of evidence.promptParts) this.#promptParts.forgetClearance(part)
+    }
   }
 
   /** Applies the removal of all objects that a full list does not contain. */
@@ -188,6 +199,38 @@
     // A failed write is not retried. Only this router then has the evidence, and the next crash is stored as a separate object.
     const result = await this.#options.store.create('crashes', name, evidence)
     if (result.isOk()) this.applyStored(result.value)
+    this.#scheduleRemoval()
+  }
+
+  #scheduleRemoval (): void {
+    if (this.#isRemovalDue || this.#known.size <= maxEvidenceObjects) return
+    this.#isRemovalDue = true
+    this.#options.timers.after(this.#options.random() * maxRemovalDelayMs, () => { void this.#removeNeedless().finally(() => { this.#isRemovalDue = false }) })
+  }
+
+  async #removeNeedless (): Promise<void> {
+    const names = planEvidenceRemoval([...this.#known].map(([name, { evidence, revision }]) => this.#toEntry(name, revision, evidence)))
+    if (names.length === 0) return
+    let removed = 0
+    for (const name of names) {
+      const result = await this.#options.store.remove('crashes', name)
+      if (result.isErr() && result.error.kind !== 'notFound') break
+      this.applyRemoved(name)
+      removed++
+    }
+    this.#options.log.event('crashEvidenceRemoved', { removed, left: this.#known.size })
+  }
+
+  #toEntry (name: string, revision: number, evidence: StoredCrashEvidence): EvidenceEntry {
+    const [contents, parts] = [evidence.contents, evidence.kind === 'crash' ? evidence.prompts.flat() : evidence.promptParts]
+    return {
+      name,
+      revision,
+      kind: evidence.kind,
+      // Contents and parts are separate traits, also if their ids are equal.
+      traits: [...contents.map(content => `content ${content}`), ...parts.map(part => `part ${part}`)],
+      isSuspected: contents.some(content => this.#contents.isSuspect(content)) || parts.some(part => this.#promptParts.isSuspect(part))
+    }
   }
 
   /** Stores the evidence again after the store was restored from a copy that may lack it. */
--- a/packages/gateway/src/node/meteredStore.ts
+++ b/packages/gateway/src/node/meteredStore.ts
@@ -31,6 +31,7 @@
     read: (kind, name, options) => measured('read', kind, store.read(kind, name, options)),
     create: (kind, name, value) => measured('create', kind, store.create(kind, name, value)),
     replace: (kind, name, value, revision) => measured('replace', kind, store.replace(kind, name, value, revision)),
-    replaceStatus: (kind, name, status, revision) => measured('replaceStatus', kind, store.replaceStatus(kind, name, status, revision))
+    replaceStatus: (kind, name, status, revision) => measured('replaceStatus', kind, store.replaceStatus(kind, name, status, revision)),
+    remove: (kind, name) => measured('remove', kind, store.remove(kind, name))
   }
 }
--- a/packages/gateway/src/shared/store.ts
+++ b/packages/gateway/src/shared/store.ts
@@ -57,4 +57,6 @@
   replace (kind: ObjectKind, name: string, value: unknown, revision: number): StoreResult<StoredObject>
   /** Compare-and-set of the status: replaces it if the object is still at `revision`. */
   replaceStatus (kind: ObjectKind, name: string, status: unknown, revision: number): StoreResult<StoredObject>
+  /** Removes the object, whatever its revision. */
+  remove (kind: ObjectKind, name: string): StoreResult<void>
 }
--- a/packages/policy/src/shared/crash/crashSuspects.ts
+++ b/packages/policy/src/shared/crash/crashSuspects.ts
@@ -109,6 +109,11 @@
     if (evidence?.crashes.size === 0) this.#evidence.delete(trait)
   }
 
+  /** Forgets a clearance whose stored object was removed, once no crash is left that it clears. */
+  forgetClearance (trait: string): void {
+    if (this.#evidence.get(trait)?.crashes.size === 0) this.#evidence.delete(trait)
+  }
+
   /** Whether a request with this trait ran soundly at this router shortly before. */
   isSound (trait: string, nowMs: number): boolean {
     return nowMs - (this.#soundAtMs.get(trait) ?? -Infinity) < soundRunMs
