Derive the first shares of a rollout from the setting of the deployment

Cause: on a deployment that allows a bad version fewer requests than 0.1 of all, a version that fails only under load gets more than allowed.

Ruled out: the later steps. They have to grow before the deadline, and evidence is gathered within a second at them.

Change: the first two shares are at most 0.7 and 1.5 times the setting. At 0.1 and above nothing changes.

--- a/packages/gateway/src/node/rollouts.ts
+++ b/packages/gateway/src/node/rollouts.ts
@@ -23,6 +23,8 @@
   /** Address at which this router accepts reports; `undefined` if it cannot control rollouts. */
   readonly address: string | undefined
   readonly client: OutcomeClient
+  /** Share of the requests of a service that a version under trial may receive. */
+  readonly trialShare: number
   readonly random: () => number
   /** Whether an endpoint of the version accepts requests. */
   hasEndpoint (service: string, version: string): boolean
@@ -132,7 +134,7 @@
   #targetShare (rollout: ActiveRollout, nowMs: number): number {
     const { order } = rollout
     if (this.#observer.isStopped(order.service, targetGroup, nowMs)) return 0
-    return timedTargetShare(this.#elapsedMs(rollout), order.durationMs, rollout.heldShare)
+    return timedTargetShare({ elapsedMs: this.#elapsedMs(rollout), durationMs: order.durationMs, trialShare: this.#options.trialShare, heldShare: rollout.heldShare })
   }
 
   #gapToleranceBuckets (rollout: ActiveRollout): number {
--- a/packages/gateway/src/node/startGateway.ts
+++ b/packages/gateway/src/node/startGateway.ts
@@ -104,6 +104,7 @@
     holder,
     address: loans?.address,
     client: outcomeClient,
+    trialShare: deployment.trialShare,
     random,
     hasEndpoint: (service, version) => state.directory.ready(service).some(endpoint => endpoint.version === version)
   })
--- a/packages/policy/src/shared/rollout/__tests__/timedRollout.test.ts
+++ b/packages/policy/src/shared/rollout/__tests__/timedRollout.test.ts
@@ -25,14 +25,14 @@
 }
 
 /** Plays a rollout at an even load. Returns how it ended, and which share of all requests the target got. */
-function play (requestsPerS: number, fault: Fault | undefined): { readonly end: string, readonly endMs: number, readonly exposure: number } {
+function play (requestsPerS: number, fault: Fault | undefined, trialShare = 0.1): { readonly end: string, readonly endMs: number, readonly exposure: number } {
   let evidence: RolloutEvidence = newEvidence('v2')
   let [targetRequests, elapsedMs] = [0, 0]
   let heldShare: number | undefined
   const lagIntervals = Math.round((fault?.lagMs ?? 0) / evaluationIntervalMs)
   const unseen: Array<{ readonly question: RouteCounts }> = Array.from({ length: lagIntervals }, () => ({ question: emptyCounts }))
   for (; elapsedMs <= durationMs; elapsedMs += evaluationIntervalMs) {
-    const share = timedTargetShare(elapsedMs, durationMs, heldShare)
+    const share = timedTargetShare({ elapsedMs, durationMs, trialShare, heldShare })
     const requests = requestsPerS * evaluationIntervalMs / 1000
     const atTarget = Math.round(requests * share)
     targetRequests += atTarget
@@ -79,6 +79,14 @@
     }
   })
 
+  // Guards against steps that ignore how many requests the deployment allows a bad version.
+  it('gives a bad version fewer requests where the deployment allows fewer', () => {
+    const { end, exposure } = play(400, { fromMs: 0, minShare: 0.25, failureShare: 0.5, slowdown: 1 }, 0.05)
+    expect(end).toBe('rollBack')
+    expect(exposure).toBeLessThan(0.05 + 50 / (400 * durationMs / 1000))
+    expect(play(400, undefined, 0.05).end).toBe('complete')
+  })
+
   it.each([0, 0.15, 0.6])('completes a good version although the whole fleet becomes slower at a share of %d', minShare => {
     const slowdown = { fromMs: 1500, minShare, failureShare: 0, gapFactor: 1 }
     expect(play(120, { ...slowdown, slowdown: 4, baselineSlowdown: 4 }).end).toBe('complete')
--- a/packages/policy/src/shared/rollout/index.ts
+++ b/packages/policy/src/shared/rollout/index.ts
@@ -5,7 +5,7 @@
   addInterval, findRollbackReason, decideRollout, isUnderSuspicion, maxStepMs, minStepMs, newEvidence, shareSteps, startRollout, stepDurationMs,
   type IntervalCounts, type LeaseIdentity, type RolloutEvidence, type RolloutPhase, type RolloutState
 } from './rollout.ts'
-export { decideTimedRollout, evaluationIntervalMs, gapToleranceBuckets, timedTargetShare, type TimedRolloutDecision, type TimedRolloutInput } from './timedRollout.ts'
+export { decideTimedRollout, evaluationIntervalMs, gapToleranceBuckets, timedTargetShare, type TargetShareInput, type TimedRolloutDecision, type TimedRolloutInput } from './timedRollout.ts'
 export { chooseVersion, findBaselineVersion, type VersionChoiceInput } from './versionChoice.ts'
 export { countsByRoute, LocalObserver, localStopMs, type Observation, type ObservedCounts } from './localObserver.ts'
 export { poolCounts, PooledIntervals, type OutcomeReport } from './pooledIntervals.ts'
--- a/packages/policy/src/shared/rollout/timedRollout.ts
+++ b/packages/policy/src/shared/rollout/timedRollout.ts
@@ -8,6 +8,8 @@
 interface Step {
   readonly fromShareOfDuration: number
   readonly targetShare: number
+  /** Upper limit of `targetShare`, as a multiple of the share of all requests that a version under trial may receive in total. */
+  readonly maxTrialShares?: number
 }
 
 /**
@@ -21,18 +23,28 @@
   { fromShareOfDuration: 0.75, targetShare: 1 },
   { fromShareOfDuration: 0.67, targetShare: 0.6 },
   { fromShareOfDuration: 0.58, targetShare: 0.3 },
-  { fromShareOfDuration: 0.45, targetShare: 0.15 },
-  { fromShareOfDuration: 0, targetShare: 0.07 }
+  { fromShareOfDuration: 0.45, targetShare: 0.15, maxTrialShares: 1.5 },
+  { fromShareOfDuration: 0, targetShare: 0.07, maxTrialShares: 0.7 }
 ]
 /** Part of the duration after which a rollout without a fault is completed; the rest is a margin for the store. */
 const completionShare = 0.92
 /** Requests that the target has to have answered, if there were any. */
 const minTargetRequests = 10
 
-/** Share of the target. While the target is under suspicion, it keeps `heldShare`, the one that it had before. */
-export function timedTargetShare (elapsedMs: number, durationMs: number, heldShare = 1): number {
-  const share = steps.find(step => elapsedMs >= step.fromShareOfDuration * durationMs)?.targetShare ?? 0
-  return Math.min(share, heldShare)
+export interface TargetShareInput {
+  readonly elapsedMs: number
+  readonly durationMs: number
+  /** Share of all requests until the deadline that a bad version may receive. */
+  readonly trialShare: number
+  /** Share that the target had before it came under suspicion, and keeps meanwhile. */
+  readonly heldShare: number | undefined
+}
+
+/** Share of the requests that the target gets now. */
+export function timedTargetShare ({ elapsedMs, durationMs, trialShare, heldShare = 1 }: TargetShareInput): number {
+  const step = steps.find(each => elapsedMs >= each.fromShareOfDuration * durationMs)
+  if (step === undefined) return 0
+  return Math.min(step.targetShare, heldShare, step.maxTrialShares === undefined ? 1 : step.maxTrialShares * trialShare)
 }
 
 /** Share up to which the endpoints of the target bear no more load than those of the baseline. */
