Start the programs that tests run from bundles

Ruled out: the time limits, which stay; parallel starts, because the steps of these tests depend on each other.

--- a/packages/cli/src/node/__tests__/commandLine.test.ts
+++ b/packages/cli/src/node/__tests__/commandLine.test.ts
@@ -7,7 +7,7 @@
 import { recordObjectName } from '@buckthorndrift/coordination'
 import { adminKey, startAdmin, type AdminFixture } from '../../../../admin/src/node/__tests__/fixture.ts'
 
-const bin = fileURLToPath(new URL('../bin.ts', import.meta.url))
+const bin = fileURLToPath(new URL('../../../dist/bundle/bin.mjs', import.meta.url))
 const directory = mkdtempSync(join(tmpdir(), 'buckthorndrift-'))
 const fleetText = (limit: number): string => `services:\n  desk:\n    kind: plain\n    versions: [{ name: v1 }]\n    endpointLimit: ${limit}\n    calls: [{ route: GET /, idempotent: true, priceTokens: 1 }]\n`
 
@@ -17,10 +17,10 @@
   readonly err: string
 }
 
-/** Runs the binary from its sources in a child process with empty standard input. */
+/** Runs the binary, as the global set-up of the tests bundled it, in a child process with empty standard input. */
 function run (args: readonly string[], environment: Readonly<Record<string, string>>): Promise<ProcessResult> {
   return new Promise((resolve, reject) => {
-    const child = spawn(process.execPath, ['--conditions', 'source', '--import', 'tsx', bin, ...args], {
+    const child = spawn(process.execPath, [bin, ...args], {
       env: { PATH: process.env['PATH'] ?? '', NO_COLOR: '1', ...environment }, stdio: ['ignore', 'pipe', 'pipe']
     })
     let out = ''
--- a/playground/src/childProcess.ts
+++ b/playground/src/childProcess.ts
@@ -8,9 +8,9 @@
 
 /** Paths of the built programs, relative to the folder of this module. */
 export const binaryPaths = {
-  cli: '../../packages/cli/dist/node/bin.js',
-  endpoint: '../../packages/endpoint/dist/node/bin.js',
-  standins: '../../packages/standins/dist/node/bin.js'
+  cli: '../../packages/cli/dist/bundle/bin.mjs',
+  endpoint: '../../packages/endpoint/dist/bundle/bin.mjs',
+  standins: '../../packages/standins/dist/bundle/bin.mjs'
 } as const
 
 export interface Child {
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -9,6 +9,7 @@
     include: ['packages/*/src/**/__tests__/**/*.test.ts', 'platform/src/**/__tests__/**/*.test.ts', 'playground/src/**/__tests__/**/*.test.ts'],
     pool: 'forks',
     reporters: ['default', './scripts/countReporter.mjs'],
+    globalSetup: ['./scripts/bundlePrograms.mjs'],
     setupFiles: ['./vitest.setup.ts'],
     testTimeout: 60_000,
     hookTimeout: 60_000
