Do not lend in the name of a process that ran at the same address before

What callers saw: an organisation could spend more than it had paid for.

Cause: a borrower knew a lender by its holder id and its address from the ledger, and sent its messages to the address. After the lender's VM had started a new process there, which became the lender itself, the borrower booked its loans under the old holder id. When it read the ledger again, it stated a loan of 0 to the new holder id, as it knew none by that name. The lender took all lent tokens back as unused and lent them once more.

Change: a message names the lender's holder id, and a router refuses one that is meant for another process. A borrower drops a reply of another process too, which covers routers of the previous version.

--- a/packages/gateway/src/node/borrowing.ts
+++ b/packages/gateway/src/node/borrowing.ts
@@ -91,6 +91,7 @@
     const result = await client.requestLoan(lender.address, {
       organisation,
       borrower: holder,
+      lender: lender.holder,
       sequence,
       grantedTokens: this.#loanFrom(lender),
       committedTokens: Math.min(this.#loanFrom(lender), slice.committedTokens - slice.ownCommittedTokens),
@@ -104,11 +105,13 @@
       this.#recordFailure(lender, result.error.kind === 'gone', result.error.kind === 'gone' ? 'connection refused' : result.error.detail)
       return { kind: 'failed' }
     }
-    // The lender may have been restarted: a new process at its address does not lend. The old one is recorded as ended, so that a new lender is found.
-    if (result.value.kind === 'notLender') this.#recordFailure(lender, true, 'the router at this address does not lend tokens of this budget')
-    else if (result.value.kind !== 'lent' || result.value.isStoreAway !== true) this.#failingLender = undefined
-    if (result.value.kind === 'lent') this.#applyLoan(lender, result.value)
-    return result.value
+    const isOtherProcess = result.value.kind === 'lent' && result.value.lender !== undefined && result.value.lender !== lender.holder
+    const reply: LoanReply = isOtherProcess ? { kind: 'notLender' } : result.value
+    // The lender may have been restarted: a new process at its address does not lend in its name. The old one is recorded as ended, so that a new lender is found.
+    if (reply.kind === 'notLender') this.#recordFailure(lender, true, 'the router at this address does not lend tokens of this budget')
+    else if (reply.kind !== 'lent' || reply.isStoreAway !== true) this.#failingLender = undefined
+    if (reply.kind === 'lent') this.#applyLoan(lender, reply)
+    return reply
   }
 
   /** Uses the store in place of a lender that cannot reach it. If that lasts, another router replaces the lender. */
--- a/packages/gateway/src/node/budgetLedger.ts
+++ b/packages/gateway/src/node/budgetLedger.ts
@@ -82,6 +82,7 @@
   /** Lends tokens to another router, if the ledger names this one as the lender. */
   async lend (request: LoanRequest): Promise<LoanReply> {
     this.#clockPeers?.recordBorrower(request.borrower, request.address, request.wallMs)
+    if (request.lender !== undefined && request.lender !== this.#options.holder) return { kind: 'notLender' }
     const reply = await this.#ledgers.get(request.organisation)?.lend(request) ?? { kind: 'notLender' }
     return reply.kind === 'lent' ? { ...reply, lender: this.#options.holder, wallMs: this.#options.timers.nowMs() } : reply
   }
--- a/packages/gateway/src/shared/loans.ts
+++ b/packages/gateway/src/shared/loans.ts
@@ -7,6 +7,8 @@
   organisation: z.string(),
   /** Holder id of the borrower. */
   borrower: z.string(),
+  /** Holder id of the router that the borrower takes for the lender. A process that was started at its address since keeps no book of its loans. */
+  lender: z.optional(z.string()),
   /** Increases with each message of this borrower about this budget. */
   sequence: z.int().check(z.positive()),
   /** Size of the loan after this message: without the tokens that the borrower returns with it. */
