Remove settings that were read and used nowhere

Cause: `drainMs`, `fileDescriptors` and `maxConnections` were decoded and checked, and nothing used them. A reader of `Deployment` looks for limits that are not kept.

Ruled out: using them here. A draining endpoint gets nothing more from the moment its notice arrives, so `drain_ms` is not needed. A limit of connections by descriptors, and one for each endpoint, would change what routers do and need runs of their own; both stay open.

Conclusion: a deployment that leaves these settings out starts now.

--- a/packages/gateway/src/shared/deployment.ts
+++ b/packages/gateway/src/shared/deployment.ts
@@ -20,8 +20,6 @@
   readonly store: Address
   /** Time within which this router must see each change in the store while there are no faults, in ms. */
   readonly contactMs: number
-  /** Longest time for which an endpoint may still receive requests after it began to drain, in ms. */
-  readonly drainMs: number
   /** Time between SIGTERM and SIGKILL, in ms. */
   readonly graceMs: number
   /** Retries that all routers together may send a service, as a share of its requests. */
@@ -36,5 +34,4 @@
   /** Processor share of the process in cores; `undefined` when it is not known. */
   readonly processorCores: number | undefined
   readonly memoryMb: number
-  readonly fileDescriptors: number
 }
--- a/packages/gateway/src/shared/fleet.ts
+++ b/packages/gateway/src/shared/fleet.ts
@@ -41,8 +41,6 @@
 
 export interface Service {
   readonly name: string
-  /** Connection limit of an endpoint for all routers together. */
-  readonly maxConnections: number
   readonly engine: EngineProfile | undefined
 }
 
--- a/packages/kernel/src/shared/events/gatewayEvents.ts
+++ b/packages/kernel/src/shared/events/gatewayEvents.ts
@@ -32,7 +32,7 @@
   contentCrashedEndpoint: { number: 1836, level: 'warn', message: 'an endpoint crashed while it ran a request', action: 'Check the log of the endpoint. After two crashes requests with the same content are refused, after three those with the same part of a prompt.' },
   promptPartSuspected: { number: 1838, level: 'warn', message: 'endpoints crashed whenever they ran requests with this part of the prompt; such requests are refused', action: 'Find out which caller sends the part. Removing the objects of the crashes from the store lifts the suspicion.' },
   crashSuspicionCleared: { number: 1839, level: 'info', message: 'requests ran soundly that other routers may suspect of crashing endpoints; this is stored for all routers', action: 'none' },
-  crashEvidenceRemoved: { number: 1842, level: 'info', message: 'old stored evidence of crashes was removed; of evidence in force only the oldest', action: 'none' },
+  crashEvidenceRemoved: { number: 1842, level: 'info', message: 'old evidence of crashes was removed from the store, so that it does not grow without limit', action: 'none' },
   rolloutChanged: { number: 1850, level: 'info', message: 'a rollout was ordered, claimed by a controller, completed or rolled back', action: 'none' },
   eventLoopDelayed: { number: 1841, level: 'warn', message: 'the event loop was delayed', action: 'Check the load and the CPU share of the VM. During a delay, incoming requests wait up to longestMs before the process sees them.' },
   logLinesDropped: { number: 1840, level: 'warn', message: 'log lines were dropped because standard output was not read fast enough', action: 'Read standard output faster.' }
