Test that a loan of another process at the lender's address is not used

Change: a unit test in borrowing.test.ts.

Figures: with the borrower's check switched off the test fails (the loan of 500 tokens is used); with it, both tests of the file pass.

--- a/packages/gateway/src/node/__tests__/borrowing.test.ts
+++ b/packages/gateway/src/node/__tests__/borrowing.test.ts
@@ -8,16 +8,20 @@
 
 const lender = { holder: 'lender.1', address: 'lender:1' }
 
-function lent (grantedTokens: number): Result<LoanReply, LoanFailure> {
-  return Ok({ kind: 'lent', grantedTokens, plannedTokens: 0, verdicts: [], routers: 2 })
+function lent (grantedTokens: number, by = lender.holder): Result<LoanReply, LoanFailure> {
+  return Ok({ kind: 'lent', grantedTokens, plannedTokens: 0, verdicts: [], lender: by, routers: 2 })
+}
+
+function createBorrowing (client: LoanClient): { readonly borrowing: Borrowing, readonly slice: BudgetSlice } {
+  const slice = new BudgetSlice(0)
+  return { slice, borrowing: new Borrowing({ organisation: 'firm', holder: 'me.1', address: 'me:1', slice, client, log: silentLog, nowMs: () => 0 }) }
 }
 
 describe('Borrowing', () => {
   it('ignores the response to a message after a later one was sent, because the lender may have lent those tokens again', async () => {
     const resolvers: Array<(reply: Result<LoanReply, LoanFailure>) => void> = []
     const client: LoanClient = { requestLoan: () => new Promise(resolve => { resolvers.push(resolve) }), close: () => Promise.resolve() }
-    const slice = new BudgetSlice(0)
-    const borrowing = new Borrowing({ organisation: 'firm', holder: 'me.1', address: 'me:1', slice, client, log: silentLog, nowMs: () => 0 })
+    const { borrowing, slice } = createBorrowing(client)
     const first = borrowing.requestLoan(lender, [])
     const second = borrowing.requestLoan(lender, [])
     resolvers[1]!(lent(0))
@@ -26,4 +30,12 @@
     await first
     expect(slice.grantedTokens).toBe(0)
   })
+
+  it('does not use a loan of another process at the address of the lender, because that process takes it back when it is asked by its own name', async () => {
+    const client: LoanClient = { requestLoan: () => Promise.resolve(lent(500, 'lender.2')), close: () => Promise.resolve() }
+    const { borrowing, slice } = createBorrowing(client)
+    expect(await borrowing.requestLoan(lender, [])).toEqual({ kind: 'notLender' })
+    expect(slice.grantedTokens).toBe(0)
+    expect(borrowing.isLost(lender)).toBe(true)
+  })
 })
