Log the limits that endpoints name, and count the attempts at such endpoints

A malformed limit has no effect. A response without a limit ends one only if its request was sent after the limit was heard of, because responses on two connections may overtake each other. Routing does not change.

Conclusion: with these lines a router that ignores a limit (1819 and limited_attempts_total rising) differs from one that never read it.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,5 +1,5 @@
 /** Gateway: a router between callers and endpoints. Routers share state only through an object store. */
-export type { ResponseAttributes, CallAttributes, Generation, PromptPart } from './shared/call.ts'
+export type { ResponseAttributes, CallAttributes, Generation, PromptPart, RequestLimit } from './shared/call.ts'
 export type { Address, Deployment } from './shared/deployment.ts'
 export type { Dialect, ForwardAttributes } from './shared/dialect.ts'
 export type {
--- a/packages/gateway/src/node/callRun.ts
+++ b/packages/gateway/src/node/callRun.ts
@@ -112,6 +112,7 @@
     this.#wasSent = true
     this.#startAttemptTimer(route, estimateMs)
     this.#state.metrics.attempts.inc({ service: service.name })
+    if (endpoint.limit.requestsPerSecond !== undefined) this.#state.metrics.limitedAttempts.inc({ service: service.name })
     this.#exchange = new Exchange(endpoint.connections, this.#state.dialect, {
       method: request.method ?? 'GET',
       path: request.url ?? '/',
@@ -149,7 +150,7 @@
   #onHead (head: ResponseHead): void {
     this.#responseHead = head
     clearTimeout(this.#attemptTimer)
-    if (this.#endpointAttempt !== undefined) this.#state.recordNotice(this.#endpointAttempt.endpoint, head.status, head.attributes)
+    if (this.#endpointAttempt !== undefined) this.#state.recordNotice(this.#endpointAttempt, head.status, head.attributes)
     const classification = classifyResponse(head.status, head.attributes)
     if (classification.kind === 'rejected') {
       this.#exchange?.abort()
--- a/packages/gateway/src/node/gatewayMetrics.ts
+++ b/packages/gateway/src/node/gatewayMetrics.ts
@@ -10,6 +10,7 @@
   readonly requests: Counter<'service' | 'outcome'>
   readonly refusals: Counter<'reason'>
   readonly attempts: Counter<'service'>
+  readonly limitedAttempts: Counter<'service'>
   readonly retries: Counter<'service'>
   readonly firstByteMs: Histogram<'service'>
   readonly eventGapMs: Histogram<'service'>
@@ -58,6 +59,7 @@
     requests: counter('requests_total', 'requests by service and outcome', ['service', 'outcome']),
     refusals: counter('refusals_total', 'refused or failed requests by reason', ['reason']),
     attempts: counter('attempts_total', 'attempts at endpoints', ['service']),
+    limitedAttempts: counter('limited_attempts_total', 'attempts at endpoints that limit the requests of all routers together', ['service']),
     retries: counter('retries_total', 'attempts after the first one of a request', ['service']),
     firstByteMs: histogram('first_byte_ms', 'time to the first byte of the answer in ms', ['service']),
     eventGapMs: histogram('event_gap_ms', 'longest pause between the events of a stream in ms', ['service']),
--- a/packages/gateway/src/node/gatewayState.ts
+++ b/packages/gateway/src/node/gatewayState.ts
@@ -2,7 +2,7 @@
 import type { Log } from '@buckthorndrift/kernel'
 import { placeCall, placeGeneration, rankByRendezvous, type FailureReason, type Hasher, type OverloadGuard } from '@buckthorndrift/policy'
 import type { Deployment } from '../shared/deployment.ts'
-import type { ResponseAttributes } from '../shared/call.ts'
+import type { RequestLimit, ResponseAttributes } from '../shared/call.ts'
 import type { Dialect } from '../shared/dialect.ts'
 import type { ElapsedClock } from '../shared/elapsedClock.ts'
 import { EndpointDirectory } from '../shared/endpointDirectory.ts'
@@ -12,6 +12,7 @@
 import type { BudgetLedger } from './budgetLedger.ts'
 import type { CallInput } from './callInput.ts'
 import type { CallContent, CrashTracker } from './crashTracker.ts'
+import type { EndpointAttempt } from './endpointAttempt.ts'
 import { TrackedEndpoints, type TrackedEndpoint } from './trackedEndpoints.ts'
 import type { Rollouts } from './rollouts.ts'
 import type { GatewayMetrics } from './gatewayMetrics.ts'
@@ -66,6 +67,7 @@
 const retryAfterMs = 400
 const minJitter = 0.75
 const unavailableStatus = 503
+const misdirectedStatus = 421
 /** Share of the allowed retries that routers use. The rest is a margin for requests that moved between windows and are counted only once. */
 const usableRetryShare = 0.75
 
@@ -151,15 +153,27 @@
     return pauses.length === 0 ? 0 : Math.max(0, Math.min(...pauses))
   }
 
-  /** Applies what an endpoint says of itself in a response: that it shuts down, or that it wants no requests for a while. */
-  recordNotice (endpoint: TrackedEndpoint, status: number, { isLeaving, retryAfterMs: pauseMs }: ResponseAttributes): void {
+  /** Applies what an endpoint says of itself in a response: that it shuts down, that it takes a limited number of requests, or that it wants none for a while. */
+  recordNotice ({ endpoint, sentMs }: EndpointAttempt, status: number, { isLeaving, retryAfterMs: pauseMs, requestLimit }: ResponseAttributes): void {
     const { id, service, address, version } = endpoint.entry
+    // Another endpoint that has the same address now sends this status.
+    if (status !== misdirectedStatus) this.#recordLimit(endpoint, requestLimit, sentMs)
     if (isLeaving && this.directory.markLeaving(endpoint.entry)) this.log.event('endpointChanged', { change: 'leaving', endpoint: id, service, address, version })
     if (status !== unavailableStatus || pauseMs === undefined) return
     endpoint.pausedUntilMs = Math.max(endpoint.pausedUntilMs, this.clock.nowMs() + pauseMs)
     this.log.event('endpointPaused', { endpoint: id, service, address, pauseMs })
   }
 
+  #recordLimit (endpoint: TrackedEndpoint, requestLimit: RequestLimit, sentMs: number): void {
+    if (requestLimit.kind === 'malformed') return
+    const isChange = requestLimit.kind === 'named'
+      ? endpoint.limit.recordNamed(requestLimit.requestsPerSecond, this.clock.nowMs())
+      : endpoint.limit.recordUnlimited(sentMs)
+    if (!isChange) return
+    const { id, service, address } = endpoint.entry
+    this.log.event('endpointLimitChanged', { endpoint: id, service, address, requestsPerSecond: endpoint.limit.requestsPerSecond ?? null })
+  }
+
   /** Endpoints of a service that accept requests now. */
   #accepting (service: string, nowMs: number): readonly EndpointEntry[] {
     return this.directory.ready(service).filter(entry => {
--- a/packages/gateway/src/node/trackedEndpoints.ts
+++ b/packages/gateway/src/node/trackedEndpoints.ts
@@ -1,6 +1,6 @@
 /** Local state of each endpoint: its connections, and the load, health and latency that this router has observed with its own requests. */
 import type { Socket } from 'node:net'
-import { EndpointHealth, PrefixHistory, type CallCandidate, type GenerationCandidate, type PrefixPart } from '@buckthorndrift/policy'
+import { EndpointHealth, KnownLimit, PrefixHistory, type CallCandidate, type GenerationCandidate, type PrefixPart } from '@buckthorndrift/policy'
 import type { EndpointEntry } from '../shared/fleet.ts'
 import { EndpointConnections } from './endpointConnections.ts'
 
@@ -16,6 +16,8 @@
   readonly connections: EndpointConnections
   readonly health: EndpointHealth
   readonly prefixes = new PrefixHistory()
+  /** Limit that the endpoint puts on the requests of all routers together. */
+  readonly limit = new KnownLimit()
   /** Requests of this router that are in flight. */
   running = 0
   /** Uncached prompt tokens of requests that wait for their first byte. */
--- a/packages/gateway/src/shared/__tests__/shared.test.ts
+++ b/packages/gateway/src/shared/__tests__/shared.test.ts
@@ -139,7 +139,7 @@
 })
 
 describe('attempt rules', () => {
-  const signed: ResponseAttributes = { attemptId: 'a', isSigned: true, isNotExecuted: false, isLeaving: false, retryAfterMs: undefined, contentLengthBytes: 1, isChunked: false, isEventStream: false, isEncoded: false }
+  const signed: ResponseAttributes = { attemptId: 'a', isSigned: true, isNotExecuted: false, isLeaving: false, retryAfterMs: undefined, requestLimit: { kind: 'none' }, contentLengthBytes: 1, isChunked: false, isEventStream: false, isEncoded: false }
 
   it('accepts a success response only if it is signed, has an attempt id and no content encoding', () => {
     expect(classifyResponse(200, signed).kind).toBe('answer')
--- a/packages/gateway/src/shared/call.ts
+++ b/packages/gateway/src/shared/call.ts
@@ -23,6 +23,13 @@
   readonly resumeAfter: string | undefined
 }
 
+/** What a response says of the number of requests that its endpoint takes from all routers together. */
+export type RequestLimit =
+  | { readonly kind: 'none' }
+  | { readonly kind: 'named', readonly requestsPerSecond: number }
+  /** The limit is malformed, so it neither sets a limit nor ends one. */
+  | { readonly kind: 'malformed' }
+
 export interface ResponseAttributes {
   readonly attemptId: string | undefined
   /** Whether the endpoint signed the response. */
@@ -33,6 +40,7 @@
   readonly isLeaving: boolean
   /** Time for which the endpoint asks to get no further requests, in ms; `undefined` if it states none. */
   readonly retryAfterMs: number | undefined
+  readonly requestLimit: RequestLimit
   /** Length of the body in bytes; `undefined` without a Content-Length header. */
   readonly contentLengthBytes: number | undefined
   readonly isChunked: boolean
--- a/packages/kernel/src/shared/events/gatewayEvents.ts
+++ b/packages/kernel/src/shared/events/gatewayEvents.ts
@@ -14,6 +14,7 @@
   endpointEntryIgnored: { number: 1813, level: 'warn', message: 'an endpoint entry does not describe a valid endpoint and was ignored', action: 'Find out which other program writes endpoint entries.' },
   endpointAvoided: { number: 1814, level: 'warn', message: 'requests at an endpoint fail; new requests avoid it', action: 'Check the endpoint. The gateway tries it again by itself.' },
   endpointPaused: { number: 1817, level: 'info', message: 'an endpoint rejected a request and asked for a pause; it gets no requests until the pause ends', action: 'If it happens often, the endpoints of the service lack capacity.' },
+  endpointLimitChanged: { number: 1819, level: 'info', message: 'an endpoint named a limit for the requests of all routers together, changed it, or takes any number again', action: 'With a low limit on many endpoints, the service lacks capacity.' },
   storeContactLost: { number: 1815, level: 'warn', message: 'the store does not respond', action: 'Check the store and the network. The last known state stays in use.' },
   storeContactRegained: { number: 1816, level: 'info', message: 'the store responds again', action: 'none' },
   storeRestored: { number: 1818, level: 'warn', message: 'the store was restored from an older copy; this router stores its own state again', action: 'Write changes of the lost time again, if operators made any.' },
--- /dev/null
+++ b/packages/policy/src/shared/limits/index.ts
@@ -0,0 +1,1 @@
+export { KnownLimit, type LimitReport } from './knownLimit.ts'
