Keep requests to the limit that an endpoint names, shared among all routers

What callers saw: nothing by itself; an endpoint in need got several times the requests that it takes, and would have failed those of its callers.

Cause: no router read the limit, and no part of the path knew a bound that holds for all routers together. What comes nearest, the pause after a 503, is kept by each router for itself, which would send the limit once a router.

Ruled out: dividing the limit by the number of routers alone. With 68 routers and one request a second each would send once in 68 s, and notice the end of the limit as late. Ruled out as well: asking one router before each request, which lets nobody send while that router is away, or two routers each grant the whole while they do not see each other.

Change: routers register in the store (RouterDirectory). Up to 3 a second and one more share a limit, chosen by rendezvous hashing; each sends at most one request an interval, saved up by none, so that the windows of any 4 s keep the bound however the requests fall together (property test). The other routers ask one of these every 1.5 s whether the limit holds; what is known newest wins. A limit of 0 lets one request through every 10 s, which shows its end. Where all endpoints are limited, callers are refused at once and each gets a time of its own.

--- a/packages/gateway/src/node/endpointAttempt.ts
+++ b/packages/gateway/src/node/endpointAttempt.ts
@@ -49,6 +49,7 @@
     this.#onObservation = options.onObservation
     this.#pendingTokens = options.uncachedTokens
     endpoint.running++
+    endpoint.lastSentMs = options.nowMs
     endpoint.heldTokens += heldTokensOf(options.generation)
     endpoint.pendingTokens += options.uncachedTokens
   }
--- a/packages/gateway/src/node/gatewayState.ts
+++ b/packages/gateway/src/node/gatewayState.ts
@@ -2,17 +2,19 @@
 import type { Log } from '@buckthorndrift/kernel'
 import { placeCall, placeGeneration, rankByRendezvous, type FailureReason, type Hasher, type OverloadGuard } from '@buckthorndrift/policy'
 import type { Deployment } from '../shared/deployment.ts'
-import type { RequestLimit, ResponseAttributes } from '../shared/call.ts'
+import type { ResponseAttributes } from '../shared/call.ts'
 import type { Dialect } from '../shared/dialect.ts'
 import type { ElapsedClock } from '../shared/elapsedClock.ts'
 import { EndpointDirectory } from '../shared/endpointDirectory.ts'
 import type { EndpointEntry, Organisation, Route, RouteTarget } from '../shared/fleet.ts'
+import type { LimitMessage, LimitReply } from '../shared/limitMessages.ts'
 import { RetryQuota } from '../shared/retryQuota.ts'
 import type { RouteTable } from '../shared/routeTable.ts'
 import type { BudgetLedger } from './budgetLedger.ts'
 import type { CallInput } from './callInput.ts'
 import type { CallContent, CrashTracker } from './crashTracker.ts'
 import type { EndpointAttempt } from './endpointAttempt.ts'
+import type { EndpointLimits } from './endpointLimits.ts'
 import { TrackedEndpoints, type TrackedEndpoint } from './trackedEndpoints.ts'
 import type { Rollouts } from './rollouts.ts'
 import type { GatewayMetrics } from './gatewayMetrics.ts'
@@ -56,6 +58,7 @@
   readonly guard: OverloadGuard
   readonly load: LoadMeter
   readonly rollouts: Rollouts
+  readonly limits: EndpointLimits
   readonly hasher: Hasher
   readonly random: () => number
 }
@@ -84,6 +87,7 @@
   readonly guard: OverloadGuard
   readonly load: LoadMeter
   readonly rollouts: Rollouts
+  readonly limits: EndpointLimits
   readonly #hasher: Hasher
   readonly #random: () => number
   readonly #retryQuotas = new Map<string, RetryQuota>()
@@ -102,6 +106,7 @@
     this.guard = options.guard
     this.load = options.load
     this.rollouts = options.rollouts
+    this.limits = options.limits
     this.endpoints = new TrackedEndpoints(socket => { this.load.track(socket) })
     this.#hasher = options.hasher
     this.#random = options.random
@@ -139,46 +144,48 @@
     return Math.min(maxUrgency, basePriority * ranksPerPriority + Math.min(route.priority, ranksPerPriority - 1))
   }
 
-  /** Retry delay for refused callers, with jitter. While all endpoints of the service have asked for a pause, it lasts until the first pause ends. */
+  /** Retry delay for refused callers, with jitter. While all endpoints of the service have asked for a pause, it lasts until the first pause ends; while all have limits that are used up, until one takes a request of this caller. */
   retryAfterMs (service?: string): number {
     const jitter = minJitter + this.#random() / 2
-    const pauseMs = service === undefined ? 0 : this.#shortestPauseMs(service)
-    return Math.max(retryAfterMs * jitter, pauseMs + retryAfterMs * (jitter - minJitter))
+    const waitMs = service === undefined ? 0 : this.#shortestWaitMs(service)
+    return Math.max(retryAfterMs * jitter, waitMs + retryAfterMs * (jitter - minJitter))
   }
 
   /** Time until the first endpoint of a service accepts requests again; 0 if one accepts them now or there is none. */
-  #shortestPauseMs (service: string): number {
+  #shortestWaitMs (service: string): number {
     const nowMs = this.clock.nowMs()
-    const pauses = this.directory.ready(service).map(entry => (this.endpoints.get(entry.id)?.pausedUntilMs ?? nowMs) - nowMs)
-    return pauses.length === 0 ? 0 : Math.max(0, Math.min(...pauses))
+    const ready = this.directory.ready(service)
+    if (ready.length === 0) return 0
+    const pauseMs = Math.min(...ready.map(entry => (this.endpoints.get(entry.id)?.pausedUntilMs ?? nowMs) - nowMs))
+    if (pauseMs > 0) return pauseMs
+    const unpaused = ready.map(entry => this.endpoints.getOrCreate(entry, nowMs)).filter(endpoint => nowMs >= endpoint.pausedUntilMs)
+    return this.limits.returnDelayMs(service, unpaused) ?? 0
   }
 
   /** Applies what an endpoint says of itself in a response: that it shuts down, that it takes a limited number of requests, or that it wants none for a while. */
   recordNotice ({ endpoint, sentMs }: EndpointAttempt, status: number, { isLeaving, retryAfterMs: pauseMs, requestLimit }: ResponseAttributes): void {
     const { id, service, address, version } = endpoint.entry
     // Another endpoint that has the same address now sends this status.
-    if (status !== misdirectedStatus) this.#recordLimit(endpoint, requestLimit, sentMs)
+    if (status !== misdirectedStatus) this.limits.recordResponse(endpoint, requestLimit, sentMs)
     if (isLeaving && this.directory.markLeaving(endpoint.entry)) this.log.event('endpointChanged', { change: 'leaving', endpoint: id, service, address, version })
     if (status !== unavailableStatus || pauseMs === undefined) return
     endpoint.pausedUntilMs = Math.max(endpoint.pausedUntilMs, this.clock.nowMs() + pauseMs)
     this.log.event('endpointPaused', { endpoint: id, service, address, pauseMs })
   }
 
-  #recordLimit (endpoint: TrackedEndpoint, requestLimit: RequestLimit, sentMs: number): void {
-    if (requestLimit.kind === 'malformed') return
-    const isChange = requestLimit.kind === 'named'
-      ? endpoint.limit.recordNamed(requestLimit.requestsPerSecond, this.clock.nowMs())
-      : endpoint.limit.recordUnlimited(sentMs)
-    if (!isChange) return
-    const { id, service, address } = endpoint.entry
-    this.log.event('endpointLimitChanged', { endpoint: id, service, address, requestsPerSecond: endpoint.limit.requestsPerSecond ?? null })
+  /** Takes what another router knows of the limit of an endpoint. Returns `undefined` if this router does not know the endpoint. */
+  receiveLimit (message: LimitMessage): LimitReply | undefined {
+    const entry = this.directory.get(message.endpoint)
+    if (entry === undefined || (entry.startedAtMs ?? null) !== message.startedAtMs) return undefined
+    return this.limits.receive(this.endpoints.getOrCreate(entry, this.clock.nowMs()), message)
   }
 
   /** Endpoints of a service that accept requests now. */
   #accepting (service: string, nowMs: number): readonly EndpointEntry[] {
     return this.directory.ready(service).filter(entry => {
       const tracked = this.endpoints.get(entry.id)
-      return tracked === undefined || tracked.entry.startedAtMs !== entry.startedAtMs || nowMs >= tracked.pausedUntilMs
+      if (tracked === undefined || tracked.entry.startedAtMs !== entry.startedAtMs) return true
+      return nowMs >= tracked.pausedUntilMs && this.limits.waitMs(tracked) === 0
     })
   }
 
--- a/packages/gateway/src/node/peerServer.ts
+++ b/packages/gateway/src/node/peerServer.ts
@@ -1,9 +1,11 @@
-/** HTTP server for the messages of other routers: loan requests, clock comparisons and outcomes for rollouts. */
+/** HTTP server for the messages of other routers: loan requests, clock comparisons, outcomes for rollouts and limits of endpoints. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type * as z from 'zod/mini'
+import { limitMessageSchema, type LimitMessage, type LimitReply } from '../shared/limitMessages.ts'
 import { loanRequestSchema, type LoanReply, type LoanRequest } from '../shared/loans.ts'
 import { outcomeReportSchema, type OutcomeReportMessage, type ReportReply } from '../shared/outcomes.ts'
 import { clockPath, type ClockAnswer } from './clockPeers.ts'
+import { limitsPath } from './limitClient.ts'
 import { loansPath } from './loanClient.ts'
 import { outcomesPath, replyStatuses } from './outcomeClient.ts'
 import { readBody } from './readBody.ts'
@@ -15,6 +17,8 @@
   readClock (): ClockAnswer
   /** Takes a report of outcomes. */
   receiveOutcomes (report: OutcomeReportMessage): ReportReply
+  /** Takes what another router knows of a limit. Returns `undefined` if the endpoint is not known here. */
+  receiveLimit (message: LimitMessage): LimitReply | undefined
 }
 
 function parse<Schema extends z.ZodMiniType> (schema: Schema, body: Buffer | undefined): z.infer<Schema> | undefined {
@@ -25,7 +29,7 @@
   }
 }
 
-function sendJson (response: ServerResponse, body: LoanReply | ClockAnswer): void {
+function sendJson (response: ServerResponse, body: LoanReply | ClockAnswer | LimitReply): void {
   const source = JSON.stringify(body)
   response.writeHead(200, { 'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(source) }).end(source)
 }
@@ -34,7 +38,7 @@
   response.writeHead(status, { 'Content-Length': 0 }).end()
 }
 
-export function createPeerServer ({ lend, readClock, receiveOutcomes }: PeerServerOptions): Server {
+export function createPeerServer ({ lend, readClock, receiveOutcomes, receiveLimit }: PeerServerOptions): Server {
   async function handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
     const read = await readBody(request, maxBodyBytes)
     if (read.kind === 'aborted') return
@@ -48,6 +52,13 @@
         sendStatus(response, report === undefined ? 400 : replyStatuses[receiveOutcomes(report)])
         return
       }
+      case limitsPath: {
+        const message = parse(limitMessageSchema, body)
+        const reply = message === undefined ? undefined : receiveLimit(message)
+        if (reply === undefined) sendStatus(response, message === undefined ? 400 : 404)
+        else sendJson(response, reply)
+        return
+      }
       case loansPath: {
         const loan = parse(loanRequestSchema, body)
         if (loan === undefined) sendStatus(response, 400)
--- a/packages/gateway/src/node/startGateway.ts
+++ b/packages/gateway/src/node/startGateway.ts
@@ -12,14 +12,17 @@
 import { BudgetLedger } from './budgetLedger.ts'
 import { CallerServer } from './callerServer.ts'
 import { CrashTracker } from './crashTracker.ts'
+import { EndpointLimits } from './endpointLimits.ts'
 import { followFleet } from './followFleet.ts'
 import { createGatewayMetrics } from './gatewayMetrics.ts'
 import { GatewayState } from './gatewayState.ts'
 import { LoadMeter } from './loadMeter.ts'
+import { createLimitClient } from './limitClient.ts'
 import { createLoanClient } from './loanClient.ts'
 import { createOutcomeClient } from './outcomeClient.ts'
 import { createPeerServer } from './peerServer.ts'
 import { Rollouts } from './rollouts.ts'
+import { RouterDirectory } from './routerDirectory.ts'
 import { LoopDelay } from './loopDelay.ts'
 import { meteredStore } from './meteredStore.ts'
 import { readVmClocks } from './vmClocks.ts'
@@ -85,7 +88,8 @@
   const peerServer = createPeerServer({
     lend: request => ledger.lend(request),
     readClock: () => ({ node: deployment.nodeName, wallMs: timers.nowMs() }),
-    receiveOutcomes: report => state.rollouts.receiveReport(report)
+    receiveOutcomes: report => state.rollouts.receiveReport(report),
+    receiveLimit: message => state.receiveLimit(message)
   })
   const loanClient = createLoanClient()
   const { peers } = deployment
@@ -108,7 +112,11 @@
     random,
     hasEndpoint: (service, version) => state.directory.ready(service).some(endpoint => endpoint.version === version)
   })
-  const state: GatewayState = new GatewayState({ deployment, dialect, clock, log, metrics, ledger, crashes, guard, load, rollouts, hasher: await createHasher(), random })
+  const hasher = await createHasher()
+  const routers = new RouterDirectory({ store, timers, log, nodeName: deployment.nodeName, address: loans?.address, random })
+  const limitClient = createLimitClient()
+  const limits = new EndpointLimits({ clock, timers, log, hasher, nodeName: deployment.nodeName, routers, client: limitClient, endpoints: () => state.endpoints.all() })
+  const state: GatewayState = new GatewayState({ deployment, dialect, clock, log, metrics, ledger, crashes, guard, load, rollouts, limits, hasher, random })
   const callers = new CallerServer(state)
   const loopDelay = new LoopDelay({ timers, log, openRequests: () => state.openRequests })
   const followers = followFleet({
@@ -147,6 +155,7 @@
   function closeListeners (): void {
     void loanClient.close()
     void outcomeClient.close()
+    void limitClient.close()
     callers.resetUnfinished()
     for (const server of servers) {
       server.close()
@@ -181,6 +190,8 @@
       await waitForRequests(startedMs)
       followers.stop()
       rollouts.stop()
+      limits.stop()
+      routers.stop()
       crashes.stop()
       loopDelay.stop()
       load.stop()
@@ -192,6 +203,8 @@
     kill () {
       followers.stop()
       rollouts.stop()
+      limits.stop()
+      routers.stop()
       crashes.stop()
       loopDelay.stop()
       load.stop()
--- a/packages/gateway/src/node/trackedEndpoints.ts
+++ b/packages/gateway/src/node/trackedEndpoints.ts
@@ -18,6 +18,10 @@
   readonly prefixes = new PrefixHistory()
   /** Limit that the endpoint puts on the requests of all routers together. */
   readonly limit = new KnownLimit()
+  /** When a participant of the limit last told that it holds, or when the limit became known; `-Infinity` without a limit. */
+  limitNewsMs = -Infinity
+  /** When this router last sent the endpoint a request. */
+  lastSentMs = -Infinity
   /** Requests of this router that are in flight. */
   running = 0
   /** Uncached prompt tokens of requests that wait for their first byte. */
@@ -98,6 +102,10 @@
     return endpoint
   }
 
+  all (): Iterable<TrackedEndpoint> {
+    return this.#endpoints.values()
+  }
+
   get (id: string): TrackedEndpoint | undefined {
     return this.#endpoints.get(id)
   }
--- a/packages/gateway/src/shared/endpointDirectory.ts
+++ b/packages/gateway/src/shared/endpointDirectory.ts
@@ -48,6 +48,10 @@
     return this.#endpoints.values()
   }
 
+  get (id: string): EndpointEntry | undefined {
+    return this.#endpoints.get(id)
+  }
+
   get size (): number {
     return this.#endpoints.size
   }
--- a/packages/policy/src/shared/limits/index.ts
+++ b/packages/policy/src/shared/limits/index.ts
@@ -1,1 +1,3 @@
 export { KnownLimit, type LimitReport } from './knownLimit.ts'
+export { limitIntervalMs, participantCount, type LimitShare } from './limitShare.ts'
+export { ReturnTimes, type ReturnInput } from './returnTimes.ts'
