Release tokens for waiting requests of a lower rank in the next report

What callers saw: 503 with a short Retry-After although the router held the tokens, and up to twelve reports written in a row for it.

Cause: the line of a report covers the requests that wait for it, but counted them against the slice with the part of the *budget* that is left to urgent requests taken off. A slice is often smaller than that part, so a request of a lower rank was never counted. Its wait ended only when the line had grown by itself, or with a refusal.

Change: requests count against the unassigned budget for their rank, and against the idle tokens of the slice as they are.

--- a/packages/gateway/src/node/__tests__/organisationLedger.test.ts
+++ b/packages/gateway/src/node/__tests__/organisationLedger.test.ts
@@ -44,9 +44,9 @@
   }
 }
 
-function ledgerOn (store: FleetStore, loans?: LedgerOptions['loans']): OrganisationLedger {
+function ledgerOn (store: FleetStore, loans?: LedgerOptions['loans'], overrides: Partial<LedgerOptions> = {}): OrganisationLedger {
   return new OrganisationLedger('firm', prepaidTokens, {
-    store, timers: new SystemTimers(), log: silentLog, holder: 'me.1', nodeName: 'me', random: () => 0.5, ...unlimitedReleases, outage: new StoreOutage(() => 0.5), loans
+    store, timers: new SystemTimers(), log: silentLog, holder: 'me.1', nodeName: 'me', random: () => 0.5, ...unlimitedReleases, outage: new StoreOutage(() => 0.5), loans, ...overrides
   })
 }
 
@@ -88,6 +88,28 @@
     expect(fake.writeCount).toBe(1)
   })
 
+  // Guards against a request that is refused, after several reports in vain, because its tokens count as withheld from its rank in the slice and not in the budget.
+  it('asks once for the release of tokens for a less urgent request, although its slice is smaller than the part of the budget that is left to urgent ones', async () => {
+    const fake = new OneLedgerStore()
+    fake.object = { ...fake.object, value: { holders: { 'me.1': { grantedTokens: 40, committedTokens: 0 }, 'other.1': { grantedTokens: 400, committedTokens: 400 } } } }
+    let [reports, releasedTokens] = [0, 5]
+    const reporter: LedgerOptions['reporter'] = {
+      releaseLimit: () => releasedTokens,
+      releaseDelayMs: () => Infinity,
+      report: async () => {
+        reports++
+        await Promise.resolve()
+        const line = ledger.releaseLine()
+        if (line !== undefined) releasedTokens = line.committedTokens + line.burstTokens
+        return true
+      }
+    }
+    const ledger = ledgerOn(fake.store, undefined, { reporter })
+    await ledger.ledgerObject.read()
+    expect((await Promise.resolve(ledger.reserve({ attemptId: 'a', tokens: 30, rank: 1, maxWaitMs: 50 }))).kind).toBe('reserved')
+    expect(reports).toBe(1)
+  })
+
   it('refreshes an old ledger before a write, so that writes of other routers cause no conflict', async () => {
     const fake = new OneLedgerStore()
     const ledger = ledgerOn(fake.store)
--- a/packages/gateway/src/node/organisationLedger.ts
+++ b/packages/gateway/src/node/organisationLedger.ts
@@ -310,7 +310,7 @@
 
   /** Line of the grant of this process for the next report. */
   releaseLine (): ReleaseLine | undefined {
-    return this.#release.nextLine(this.#prepaidTokens, this.#waiting.fittingTokens(this.#slice.idleTokens, this.#prepaidTokens))
+    return this.#release.nextLine(this.#prepaidTokens, this.#waiting.fittingTokens(unassignedTokens(this.#grantInput()), this.#prepaidTokens, this.#slice.idleTokens))
   }
 
   #applyGrant (): void {
--- a/packages/gateway/src/node/waitingRequests.ts
+++ b/packages/gateway/src/node/waitingRequests.ts
@@ -48,11 +48,12 @@
     }
   }
 
-  /** Total tokens of the requests that together fit into the tokens that are free for their rank. */
-  fittingTokens (freeTokens: number, prepaidTokens: number): number {
+  /** Total tokens of the requests that together fit into the tokens of the budget that are free for their rank, and into `sliceTokens`. */
+  fittingTokens (freeTokens: number, prepaidTokens: number, sliceTokens = Infinity): number {
     let sum = 0
     for (const { tokens, rank } of this.#waiters) {
-      if (sum + tokens <= freeTokens - withheldTokens(prepaidTokens, rank)) sum += tokens
+      const limitTokens = Math.min(sliceTokens, freeTokens - withheldTokens(prepaidTokens, rank))
+      if (sum + tokens <= limitTokens) sum += tokens
     }
     return sum
   }
