Name the time of a top-up also when the store was slow at the refusal

What callers saw: Retry-After of some 0.6 s for a request that no tokens are left for; they came back in vain.

Cause: the retry time followed the known ledger only if the last call to the store had succeeded. A request that is refused at the limit of its wait is refused while a call is still under way.

Ruled out: that an old state names too long a time. Spent and lost tokens only grow, and a top-up is read from the configuration, so an old state shows too many free tokens.

Change: whether only a top-up helps is told from the ledger as known. That a budget is exhausted (402) still needs a current one.

--- a/packages/policy/src/shared/ledger/__tests__/release.test.ts
+++ b/packages/policy/src/shared/ledger/__tests__/release.test.ts
@@ -35,6 +35,16 @@
   })
 })
 
+describe('the retry delay of a request that does not fit into what is left for its rank', () => {
+  const refusal = { tokens: 100, rank: 1, prepaidTokens: 10_000, committedTokens: 9600, others: { grantedTokens: 0, committedTokens: 0, lostTokens: 0 }, outageMs: undefined, random: () => 0.5 }
+
+  // Guards against callers who come back in vain, because the store was slow at the moment of the refusal. What is known to be spent stays spent.
+  it.each([true, false])('is that of a top-up, whether the ledger is current (%s) or not', isLedgerCurrent => {
+    expect(classifyRefusal({ ...refusal, isLedgerCurrent }).retryAfterMs).toBeGreaterThan(5000)
+    expect(classifyRefusal({ ...refusal, committedTokens: 0, isLedgerCurrent }).retryAfterMs).toBeLessThan(1000)
+  })
+})
+
 describe('provenElapsedMs', () => {
   const earlier = { monotonicMs: 50_000, wallMs: 1_700_000_000_000 }
 
--- a/packages/policy/src/shared/ledger/classifyRefusal.ts
+++ b/packages/policy/src/shared/ledger/classifyRefusal.ts
@@ -42,7 +42,8 @@
   const isExhausted = input.isLedgerCurrent && input.tokens > leftTokens
   // Tokens of ended routers are lost, and the last part of the budget is withheld for more urgent requests.
   const freeTokens = leftTokens - input.others.lostTokens - withheldTokens(input.prepaidTokens, input.rank)
-  const needsTopUp = input.isLedgerCurrent && input.tokens > freeTokens
+  // An old state of the ledger shows too many free tokens rather than too few, because what is spent stays spent.
+  const needsTopUp = input.tokens > freeTokens
   return { leftTokens, isExhausted, retryAfterMs: needsTopUp ? topUpRetryMs : expectedReturnMs(input) }
 }
 
