--- a/packages/gateway/src/node/routerDirectory.ts
+++ b/packages/gateway/src/node/routerDirectory.ts
@@ -46,7 +46,8 @@
 
 interface Entry extends KnownRouter {
   readonly revision: number
-  readonly changedMs: number
+  /** Time that this router has seen the entry unchanged. The time between two lists counts up to `listIntervalMs` only, because in an outage of the store nobody can renew an entry. */
+  readonly unchangedMs: number
 }
 
 export class RouterDirectory {
@@ -56,6 +57,8 @@
   readonly #stopChecks: Unsubscribe
   #routers: readonly KnownRouter[] | undefined
   #listedMs = -Infinity
+  /** Time of the last list that succeeded. */
+  #appliedMs = -Infinity
   /** Time from which the next list is due; the interval is random, so that routers do not list together. */
   #listDueMs = -Infinity
   /** Whether the next list must not be stale. */
@@ -138,16 +141,18 @@
   }
 
   #apply (objects: readonly StoredObject[]): void {
-    const nowMs = this.#nowMs()
-    const names = new Set(objects.map(({ name }) => name))
-    for (const name of this.#entries.keys()) if (!names.has(name)) this.#entries.delete(name)
+    const sinceMs = Math.min(listIntervalMs, this.#nowMs() - this.#appliedMs)
+    this.#appliedMs = this.#nowMs()
+    const before = new Map(this.#entries)
+    this.#entries.clear()
     for (const { name, revision, value } of objects) {
       const entry = entrySchema.safeParse(value).data
-      if (entry === undefined || this.#entries.get(name)?.revision === revision) continue
-      this.#entries.set(name, { id: name, address: entry.address, revision, changedMs: nowMs })
+      const known = before.get(name)
+      const unchangedMs = known?.revision === revision ? known.unchangedMs + sinceMs : 0
+      if (entry !== undefined) this.#entries.set(name, { id: name, address: entry.address, revision, unchangedMs })
     }
-    this.#update([...this.#entries.values()].filter(entry => nowMs - entry.changedMs < expiryMs))
-    for (const { id, changedMs } of this.#entries.values()) if (nowMs - changedMs >= removalMs) this.#removeExpired(id)
+    this.#update([...this.#entries.values()].filter(({ unchangedMs }) => unchangedMs < expiryMs))
+    for (const { id, unchangedMs } of this.#entries.values()) if (unchangedMs >= removalMs) this.#removeExpired(id)
   }
 
   /** Any router may remove an expired entry. On average one does so per list of all routers. */
