Give a version under trial its share also while all other endpoints are limited

Found while looking for what the shared limits touch.

Cause: endpoints that take no request at the moment (a limit that is used up, a pause after a 503) were left out before the version was chosen. With all endpoints of the version before left out, the target counted as the only version and got every request.

Ruled out: that this needs the new limits; a pause did the same.

Change: the version is chosen among all ready endpoints, and only then are those left out that take no request. If the chosen version takes none, the others are asked, never the other way round.

--- a/packages/gateway/src/node/gatewayState.ts
+++ b/packages/gateway/src/node/gatewayState.ts
@@ -180,13 +180,19 @@
     return this.limits.receive(this.endpoints.getOrCreate(entry, this.clock.nowMs()), message)
   }
 
-  /** Endpoints of a service that accept requests now. */
-  #accepting (service: string, nowMs: number): readonly EndpointEntry[] {
-    return this.directory.ready(service).filter(entry => {
-      const tracked = this.endpoints.get(entry.id)
-      if (tracked === undefined || tracked.entry.startedAtMs !== entry.startedAtMs) return true
-      return nowMs >= tracked.pausedUntilMs && this.limits.waitMs(tracked) === 0
-    })
+  /** Whether an endpoint takes a request now. */
+  #isAccepting (entry: EndpointEntry, nowMs: number): boolean {
+    const tracked = this.endpoints.get(entry.id)
+    if (tracked === undefined || tracked.entry.startedAtMs !== entry.startedAtMs) return true
+    return nowMs >= tracked.pausedUntilMs && this.limits.waitMs(tracked) === 0
+  }
+
+  /** Endpoints that take the next attempt of a request now. A version under trial gets its share also while no endpoint of another version takes requests. */
+  #accepting (service: string, isRepeated: boolean, nowMs: number): readonly EndpointEntry[] {
+    const ready = this.directory.ready(service)
+    const accepting = this.rollouts.eligible(service, ready, isRepeated).filter(entry => this.#isAccepting(entry, nowMs))
+    if (accepting.length > 0 || isRepeated) return accepting
+    return this.rollouts.eligible(service, ready, true).filter(entry => this.#isAccepting(entry, nowMs))
   }
 
   /** Records how an attempt at an endpoint ended. `down` means that the endpoint fails every request, for example because it refuses connections. */
@@ -218,7 +224,7 @@
   place (input: CallInput, tried: ReadonlySet<string>): Placement | undefined {
     const nowMs = this.clock.nowMs()
     const { name } = input.service
-    const endpoints = this.rollouts.eligible(name, this.#accepting(name, nowMs), tried.size > 0)
+    const endpoints = this.#accepting(name, tried.size > 0, nowMs)
     if (input.service.engine !== undefined && input.attributes.generation !== undefined) return this.#placeGeneration(input, endpoints, tried, nowMs)
     const candidates = endpoints.map(entry => this.endpoints.getOrCreate(entry, nowMs).callCandidate(this.deployment.failureDomain, nowMs))
     const id = placeCall(candidates, tried, this.#random)
