Tell a router that does not respond from one that does not know an endpoint

Cause: found in reading. An observer took any answer but a report for a router that is gone, and left that router out of all shares for 10 s. A router that has not read the entry of an endpoint yet, or runs a version without these messages, answers 404.

Ruled out: taking 404 for the end of the limit; such a router knows nothing.

Change: the client tells known, unknown and unreachable apart.

--- a/packages/gateway/src/node/endpointLimits.ts
+++ b/packages/gateway/src/node/endpointLimits.ts
@@ -148,13 +148,16 @@
     if (participant?.address === undefined) return
     const { id, startedAtMs } = endpoint.entry
     const { ageMs } = endpoint.limit.report(this.#nowMs())
-    const reply = await client.exchange(participant.address, { endpoint: id, startedAtMs: startedAtMs ?? null, report: { requestsPerSecond, ageMs } })
-    if (reply === undefined) {
-      routers.recordUnreachable(participant.id)
-      log.event('limitExchangeFailed', { endpoint: id, router: participant.id })
-      return
+    const exchange = await client.exchange(participant.address, { endpoint: id, startedAtMs: startedAtMs ?? null, report: { requestsPerSecond, ageMs } })
+    switch (exchange.kind) {
+      case 'unreachable':
+        routers.recordUnreachable(participant.id)
+        log.event('limitExchangeFailed', { endpoint: id, router: participant.id, detail: exchange.detail })
+        return
+      case 'unknown': return
+      case 'known':
+        endpoint.limitNewsMs = this.#nowMs()
+        this.#merge(endpoint, exchange.reply)
     }
-    endpoint.limitNewsMs = this.#nowMs()
-    this.#merge(endpoint, reply)
   }
 }
--- a/packages/gateway/src/node/limitClient.ts
+++ b/packages/gateway/src/node/limitClient.ts
@@ -2,9 +2,14 @@
 import { Agent } from 'undici'
 import { limitReplySchema, type LimitMessage, type LimitReply } from '../shared/limitMessages.ts'
 
+export type LimitExchange =
+  | { readonly kind: 'known', readonly reply: LimitReply }
+  /** The router does not know the endpoint, or it runs a version that does not know these messages. */
+  | { readonly kind: 'unknown' }
+  | { readonly kind: 'unreachable', readonly detail: string }
+
 export interface LimitClient {
-  /** Returns `undefined` if the router does not respond or does not know the endpoint. */
-  exchange (address: string, message: LimitMessage): Promise<LimitReply | undefined>
+  exchange (address: string, message: LimitMessage): Promise<LimitExchange>
   close (): Promise<void>
 }
 
@@ -17,10 +22,13 @@
     async exchange (address, message) {
       try {
         const response = await agent.request({ origin: `http://${address}`, path: limitsPath, method: 'POST', body: JSON.stringify(message), signal: AbortSignal.timeout(responseTimeoutMs) })
-        return limitReplySchema.safeParse(await response.body.json()).data
-      } catch {
-        // The caller logs the failure and asks another router.
-        return undefined
+        if (response.statusCode !== 200) {
+          await response.body.dump()
+          return { kind: 'unknown' }
+        }
+        return { kind: 'known', reply: limitReplySchema.parse(await response.body.json()) }
+      } catch (error) {
+        return { kind: 'unreachable', detail: error instanceof Error ? error.message : String(error) }
       }
     },
     close: () => agent.destroy()
