List the configuration after a failure, and do not read each one that was missed

Cause: the watch of the configuration went on where it had stopped.

Ruled out: the same for the other kinds. Their objects are small, and a list of all endpoints is larger than the changes of a cut.

Change: after a failure the follower of the configuration lists.

--- a/packages/gateway/src/node/followFleet.ts
+++ b/packages/gateway/src/node/followFleet.ts
@@ -133,7 +133,7 @@
 
   const watchWaitMs = Math.max(minWatchMs, state.deployment.contactMs - silenceDetectionMs)
   const followers = [
-    new StoreFollower({ kind: 'configuration', store, timers, random, listener: configurationListener, waitMs: () => watchWaitMs, pauseMs: 0 }),
+    new StoreFollower({ kind: 'configuration', store, timers, random, listener: configurationListener, waitMs: () => watchWaitMs, pauseMs: 0, listsAfterFailure: true }),
     new StoreFollower({ kind: 'endpoints', store, timers, random, listener: endpointListener, waitMs: () => watchWaitMs, pauseMs: endpointBatchMs }),
     new StoreFollower({ kind: 'rollouts', store, timers, random, listener: rolloutListener, waitMs: () => state.rollouts.isRunning ? watchWaitMs : idleWatchMs, pauseMs: 0 }),
     new StoreFollower({ kind: 'crashes', store, timers, random, listener: crashListener, waitMs: () => state.crashes.isInSeries ? watchWaitMs : idleWatchMs, pauseMs: crashBatchMs })
--- a/packages/gateway/src/node/storeFollower.ts
+++ b/packages/gateway/src/node/storeFollower.ts
@@ -22,6 +22,8 @@
   waitMs (): number
   /** Pause after each response, so that one call returns a whole burst of changes. */
   readonly pauseMs: number
+  /** Lists the objects after a failure, and does not go on with the watch. This is for large objects of which only the latest state counts; a watch would send each state that was missed. */
+  readonly listsAfterFailure?: boolean
 }
 
 const initialRetryMs = 100
@@ -103,6 +105,7 @@
     }
     const detail = failure.kind === 'unavailable' || failure.kind === 'rejected' ? failure.detail : failure.kind
     if (this.#failures === 0) this.#options.listener.onContact(false, detail)
+    if (this.#options.listsAfterFailure === true) this.#revision = undefined
     const retryMs = Math.min(maxRetryMs, initialRetryMs * 2 ** this.#failures)
     this.#failures++
     await this.#pause(retryMs * (0.5 + this.#options.random()))
