Send messages to other routers through one function

Ruled out: one agent for all.

Change: postToPeer; the clients keep their agents, timeouts and replies.

--- a/packages/gateway/src/node/__tests__/borrowing.test.ts
+++ b/packages/gateway/src/node/__tests__/borrowing.test.ts
@@ -4,11 +4,12 @@
 import { BudgetSlice } from '@buckthorndrift/policy'
 import type { LoanReply } from '../../shared/loans.ts'
 import { Borrowing } from '../borrowing.ts'
-import type { LoanClient, LoanFailure } from '../loanClient.ts'
+import type { LoanClient } from '../loanClient.ts'
+import type { PeerFailure } from '../peerRequest.ts'
 
 const lender = { holder: 'lender.1', address: 'lender:1' }
 
-function lent (grantedTokens: number, by = lender.holder): Result<LoanReply, LoanFailure> {
+function lent (grantedTokens: number, by = lender.holder): Result<LoanReply, PeerFailure> {
   return Ok({ kind: 'lent', grantedTokens, plannedTokens: 0, verdicts: [], lender: by, routers: 2 })
 }
 
@@ -19,7 +20,7 @@
 
 describe('Borrowing', () => {
   it('ignores the response to a message after a later one was sent, because the lender may have lent those tokens again', async () => {
-    const resolvers: Array<(reply: Result<LoanReply, LoanFailure>) => void> = []
+    const resolvers: Array<(reply: Result<LoanReply, PeerFailure>) => void> = []
     const client: LoanClient = { requestLoan: () => new Promise(resolve => { resolvers.push(resolve) }), close: () => Promise.resolve() }
     const { borrowing, slice } = createBorrowing(client)
     const first = borrowing.requestLoan(lender, [])
--- a/packages/gateway/src/node/limitClient.ts
+++ b/packages/gateway/src/node/limitClient.ts
@@ -1,6 +1,7 @@
 /** HTTP client that asks another router for the limit of an endpoint. */
 import { Agent } from 'undici'
 import { limitReplySchema, type LimitMessage, type LimitReply } from '../shared/limitMessages.ts'
+import { postToPeer } from './peerRequest.ts'
 
 export type LimitExchange =
   | { readonly kind: 'known', readonly reply: LimitReply }
@@ -20,16 +21,10 @@
   const agent = new Agent({ connect: { timeout: responseTimeoutMs }, keepAliveTimeout: 5000, pipelining: 1 })
   return {
     async exchange (address, message) {
-      try {
-        const response = await agent.request({ origin: `http://${address}`, path: limitsPath, method: 'POST', body: JSON.stringify(message), signal: AbortSignal.timeout(responseTimeoutMs) })
-        if (response.statusCode !== 200) {
-          await response.body.dump()
-          return { kind: 'unknown' }
-        }
-        return { kind: 'known', reply: limitReplySchema.parse(await response.body.json()) }
-      } catch (error) {
-        return { kind: 'unreachable', detail: error instanceof Error ? error.message : String(error) }
-      }
+      const response = await postToPeer(agent, address, limitsPath, message, responseTimeoutMs)
+      if (response.isErr()) return { kind: 'unreachable', detail: response.error.kind === 'gone' ? 'the connection was refused' : response.error.detail }
+      const reply = limitReplySchema.safeParse(response.value.body).data
+      return response.value.status === 200 && reply !== undefined ? { kind: 'known', reply } : { kind: 'unknown' }
     },
     close: () => agent.destroy()
   }
--- a/packages/gateway/src/node/loanClient.ts
+++ b/packages/gateway/src/node/loanClient.ts
@@ -2,14 +2,10 @@
 import { Err, Ok, type Result } from 'ts-results-es'
 import { Agent } from 'undici'
 import { loanReplySchema, type LoanReply, type LoanRequest } from '../shared/loans.ts'
-
-export type LoanFailure =
-  /** The connection was refused, so the process has ended. */
-  | { readonly kind: 'gone' }
-  | { readonly kind: 'unreachable', readonly detail: string }
+import { postToPeer, type PeerFailure } from './peerRequest.ts'
 
 export interface LoanClient {
-  requestLoan (address: string, request: LoanRequest): Promise<Result<LoanReply, LoanFailure>>
+  requestLoan (address: string, request: LoanRequest): Promise<Result<LoanReply, PeerFailure>>
   close (): Promise<void>
 }
 
@@ -21,20 +17,11 @@
   const agent = new Agent({ connect: { timeout: responseTimeoutMs }, keepAliveTimeout: 10_000, pipelining: 1 })
   return {
     async requestLoan (address, request) {
-      try {
-        const response = await agent.request({
-          origin: `http://${address}`,
-          path: loansPath,
-          method: 'POST',
-          body: JSON.stringify(request),
-          signal: AbortSignal.timeout(Math.ceil(request.maxWaitMs) + responseTimeoutMs)
-        })
-        const parsed = loanReplySchema.safeParse(await response.body.json())
+      const response = await postToPeer(agent, address, loansPath, request, Math.ceil(request.maxWaitMs) + responseTimeoutMs)
+      return response.andThen<LoanReply, PeerFailure>(({ body }) => {
+        const parsed = loanReplySchema.safeParse(body)
         return parsed.success ? Ok(parsed.data) : Err({ kind: 'unreachable', detail: 'the response is not a valid loan reply' })
-      } catch (error) {
-        if ((error as NodeJS.ErrnoException).code === 'ECONNREFUSED') return Err({ kind: 'gone' })
-        return Err({ kind: 'unreachable', detail: error instanceof Error ? error.message : String(error) })
-      }
+      })
     },
     close: () => agent.destroy()
   }
--- a/packages/gateway/src/node/outcomeClient.ts
+++ b/packages/gateway/src/node/outcomeClient.ts
@@ -1,9 +1,10 @@
 /** HTTP client that reports outcomes of requests to the controller of a rollout. */
 import { Agent } from 'undici'
 import type { OutcomeReportMessage, ReportReply } from '../shared/outcomes.ts'
+import { postToPeer } from './peerRequest.ts'
 
 export interface OutcomeClient {
-  /** Sends a report to the controller. */
+  /** Sends a report to the controller. The caller counts how long the controller has not accepted reports. */
   report (address: string, message: OutcomeReportMessage): Promise<ReportReply>
   close (): Promise<void>
 }
@@ -18,14 +19,8 @@
   const agent = new Agent({ connect: { timeout: responseTimeoutMs }, keepAliveTimeout: 5000, pipelining: 1 })
   return {
     async report (address, message) {
-      try {
-        const response = await agent.request({ origin: `http://${address}`, path: outcomesPath, method: 'POST', body: JSON.stringify(message), signal: AbortSignal.timeout(responseTimeoutMs) })
-        await response.body.dump()
-        return replies.get(response.statusCode) ?? 'rejected'
-      } catch {
-        // The caller counts how long the controller has not accepted reports.
-        return 'rejected'
-      }
+      const response = await postToPeer(agent, address, outcomesPath, message, responseTimeoutMs)
+      return response.map(({ status }) => replies.get(status)).unwrapOr(undefined) ?? 'rejected'
     },
     close: () => agent.destroy()
   }
