--- a/packages/gateway/src/node/routerDirectory.ts
+++ b/packages/gateway/src/node/routerDirectory.ts
@@ -160,14 +160,19 @@
     if (id !== this.#options.nodeName && this.#options.random() * this.#routers!.length < 1) void this.#options.store.remove('routers', id)
   }
 
+  /** Replaces the known routers if the live entries name others. This router counts also before its entry is listed. */
   #update (live: readonly Entry[]): void {
     const { nodeName, address, log } = this.#options
-    const others = live.filter(({ id }) => id !== nodeName).map(({ id, address: of }) => ({ id, address: of }))
-    const routers = [...others, { id: nodeName, address }].toSorted((a, b) => a.id < b.id ? -1 : 1)
-    const isSame = this.#routers?.length === routers.length && routers.every(({ id, address: of }, index) => this.#routers![index]!.id === id && this.#routers![index]!.address === of)
-    if (isSame) return
+    const own: KnownRouter = { id: nodeName, address }
+    const others = live.filter(({ id }) => id !== nodeName).map((entry): KnownRouter => ({ id: entry.id, address: entry.address }))
+    const routers = [...others, own].toSorted((left, right) => left.id < right.id ? -1 : 1)
+    if (isSameFleet(this.#routers, routers)) return
     const before = this.#routers?.length ?? 0
     this.#routers = routers
     log.event('routersChanged', { routers: routers.length, before })
   }
 }
+
+function isSameFleet (known: readonly KnownRouter[] | undefined, listed: readonly KnownRouter[]): boolean {
+  return known?.length === listed.length && listed.every(({ id, address }, index) => known[index]!.id === id && known[index]!.address === address)
+}
