review: one entry with an address that is none ends every gateway

Cause: the pattern for addresses admits ports above 65535 and octets above 255; the constructor of the HTTP client throws, and nothing catches it. Restarted processes count as the platform starts them again.

--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -20,6 +20,9 @@
   }
 }
 
+/** Time after which the platform starts a process again. */
+const restartDelayMs = 500
+
 const startMs = performance.now()
 const lines = []
 
@@ -111,6 +114,8 @@
   #isStopping = false
   /** Ends of the process that nobody asked for, as exit codes or signals. */
   ownEnds = []
+  /** Whether a process that ended by itself is started again after a short delay, as the platform does. */
+  isRestarted = false
 
   constructor (options) {
     this.#options = options
@@ -141,6 +146,7 @@
       this.ownEnds.push(code ?? signal)
       const cause = errors.split('\n').find(line => /Error/.test(line))
       if (cause !== undefined) record(`gateway ${this.name} said: ${cause.trim()}`)
+      if (this.isRestarted) setTimeout(() => { if (!this.#isStopping) this.start() }, restartDelayMs)
     })
     record(`gateway ${this.name} started`)
   }
