review: a stream without framing looks complete when the gateway is killed

Cause: answers without a length are passed on without chunks, so the end of a killed process is the end of the answer. Done: case 5, a script with the claim.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+cd "$(dirname "$0")/../.." && exec node review/5/case.mjs
