review: the scripts take ports below those of outgoing connections

Done: ports from 10000 to 30000, and exit code 2 if a gateway ends by itself where the case does not expect it.

--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -39,10 +39,13 @@
   })
 }
 
+/** Ports below those that the system gives to outgoing connections. */
+const [minPort, portRange] = [10_000, 20_000]
+
 /** Finds `count` free ports in a row. */
 async function freePorts (count) {
   for (;;) {
-    const first = 20_000 + Math.floor(Math.random() * 20_000)
+    const first = minPort + Math.floor(Math.random() * portRange)
     const servers = []
     try {
       for (let offset = 0; offset < count; offset++) servers.push(await listenOn(first + offset))
@@ -144,7 +147,7 @@
       record(`gateway ${this.name} ended${isOwn ? ' by itself' : ''}, code ${code}, signal ${signal}`)
       if (!isOwn) return
       this.ownEnds.push(code ?? signal)
-      const cause = errors.split('\n').find(line => /Error/.test(line))
+      const cause = errors.split('\n').find(line => /Error|cannot/.test(line))
       if (cause !== undefined) record(`gateway ${this.name} said: ${cause.trim()}`)
       if (this.isRestarted) setTimeout(() => { if (!this.#isStopping) this.start() }, restartDelayMs)
     })
@@ -251,8 +254,7 @@
   }
 
   async addGateway (name, zone) {
-    const internal = await freePorts(2)
-    const gateway = new Gateway({ name, zone, storePort: this.#storePort, ports: [...await freePorts(3), ...internal] })
+    const gateway = new Gateway({ name, zone, storePort: this.#storePort, ports: await freePorts(5) })
     this.gateways.push(gateway)
     gateway.start()
     await waitFor(() => gateway.isReady(), `gateway ${name} to be ready`)
@@ -307,6 +309,8 @@
   try {
     record(`trouble: ${hasTrouble ? 'yes' : 'no'}`)
     const broken = await play(fleet)
+    const lost = fleet.gateways.find(gateway => !gateway.isRestarted && gateway.ownEnds.length > 0)
+    if (lost !== undefined) throw new Error(`gateway ${lost.name} ended by itself`)
     code = broken.length > 0 ? 1 : 0
     for (const line of broken) record(`BROKEN ${line}`)
     record(broken.length > 0 ? 'result: the rule was broken' : 'result: the rule held')
