review: the case of the budget plays a cut in place of a kill

Cause: the kill loses what the killed process knew; with a cut from the store the holder is alive and in reach, and its tokens are granted again all the same, 2.5 s after the restore.

--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -5,6 +5,7 @@
 import { createServer as createTcpServer } from 'node:net'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
+import { Link } from './link.mjs'
 import { Store } from './store.mjs'
 
 export const host = 'walks.example'
@@ -117,6 +118,8 @@
   #isStopping = false
   /** Ends of the process that nobody asked for, as exit codes or signals. */
   ownEnds = []
+  /** The link of the machine to the store. */
+  storeLink
   /** Whether a process that ended by itself is started again after a short delay, as the platform does. */
   isRestarted = false
 
@@ -254,7 +257,9 @@
   }
 
   async addGateway (name, zone) {
-    const gateway = new Gateway({ name, zone, storePort: this.#storePort, ports: await freePorts(5) })
+    const link = new Link(this.#storePort)
+    const gateway = new Gateway({ name, zone, storePort: await link.start(), ports: await freePorts(5) })
+    gateway.storeLink = link
     this.gateways.push(gateway)
     gateway.start()
     await waitFor(() => gateway.isReady(), `gateway ${name} to be ready`)
@@ -264,6 +269,7 @@
   async stop () {
     for (const gateway of this.gateways) {
       await gateway.signal('SIGKILL')
+      gateway.storeLink.stop()
       gateway.removeFiles()
     }
     for (const worker of this.workers) worker.stop()
