review: a case that is ended early ends its gateways too

Cause: a signal to a script left its processes running. Done: the gateways are killed when the script exits.

--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -142,6 +142,7 @@
     this.#isStopping = false
     const child = spawn(program === 'node' ? process.execPath : program, args, { env: { PATH: process.env.PATH, HOME: this.#folder, BUCKTHORNDRIFT_CONFIG: join(this.#folder, 'settings.toml') }, stdio: ['ignore', 'pipe', 'pipe'] })
     this.#child = child
+    process.once('exit', () => { if (child.exitCode === null) child.kill('SIGKILL') })
     let errors = ''
     child.stdout.on('data', chunk => { if (process.env.SHOW_LOG === '1') process.stderr.write(chunk) })
     child.stderr.on('data', chunk => { errors = (errors + chunk).slice(0, 4000) })
@@ -306,6 +307,8 @@
 /** Runs a case: exits with 1 if it returns a broken rule, 0 if not, 2 if it could not run. */
 export async function runCase (recordFile, play) {
   const fleet = new Fleet()
+  process.setMaxListeners(0)
+  for (const signal of ['SIGTERM', 'SIGINT']) process.once(signal, () => { process.exit(2) })
   const limit = setTimeout(() => {
     for (const gateway of fleet.gateways) void gateway.signal('SIGKILL').catch(() => {})
     process.exitCode = 2
