--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -48,7 +48,7 @@
 
 await runCase('review/1/record.txt', async fleet => {
   await fleet.start(configuration())
-  for (const [index, zone] of ['munster-a', 'munster-b', 'munster-c'].entries()) await fleet.addWorker(`i-writer${index}`, 'writer', zone, behave)
+  for (const [index, zone] of ['munster-a', 'munster-b', 'munster-c', 'munster-d'].entries()) await fleet.addWorker(`i-writer${index}`, 'writer', zone, behave)
   const gateway = await fleet.addGateway('front-munster-a-1', 'munster-a')
   const broken = []
   const whole = Array.from({ length: pieces }, (_, index) => piece(index + 1)).join('')
