--- a/packages/gateway/src/node/callRun.ts
+++ b/packages/gateway/src/node/callRun.ts
@@ -17,7 +17,7 @@
 
 /** Another attempt is started only if at least this much time is left before the deadline. */
 const minAttemptMs = 15
-/** Status of a response that consists of events, and of one that continues them. */
+/** Status of a response that consists of events. */
 const streamStatus = 200
 /** Limit of attempts that did not run the request: connections that failed, and responses that rejected it. */
 const maxUnsentAttempts = 3
@@ -148,7 +148,7 @@
     this.#executions++
     this.#verdict = mayHaveRun
     if (classification.kind === 'unusable') this.#abortAttempt(classification.detail)
-    else if (this.#callerResponse.hasStarted && head.status !== streamStatus) this.#abortAttempt(`the endpoint responded with ${head.status} in place of the rest of the stream`)
+    else if (this.#callerResponse.hasStarted && !this.#callerResponse.isContinuedBy(head)) this.#abortAttempt(`the response of the endpoint, with status ${head.status}, does not continue the stream`)
   }
 
   #onData (chunk: Buffer): void {
--- a/packages/gateway/src/node/callerResponse.ts
+++ b/packages/gateway/src/node/callerResponse.ts
@@ -18,6 +18,7 @@
   #buffered: Buffer[] = []
   #bufferedBytes = 0
   #isFramed = false
+  #startedHead: ResponseHead | undefined
 
   constructor (response: ServerResponse, dialect: Dialect) {
     this.#response = response
@@ -29,9 +30,15 @@
     return this.#response.headersSent
   }
 
+  /** Whether the response of another endpoint may go on where the started one broke off. An error, or a page in place of the stream, does not continue it whatever its body looks like. */
+  isContinuedBy ({ status, attributes }: ResponseHead): boolean {
+    return status === this.#startedHead?.status && attributes.isEventStream === this.#startedHead.attributes.isEventStream
+  }
+
   /** Sends the response head once. A resumed stream keeps the head from its first endpoint. */
   writeHead (head: ResponseHead, closeConnection: boolean): void {
     if (this.#response.headersSent) return
+    this.#startedHead = head
     const headers = this.#dialect.responseHeaders(head.rawHeaders)
     this.#isFramed = head.attributes.isChunked || head.attributes.contentLengthBytes !== undefined
     // Without a length, the end of the connection marks the end of the response, for the endpoint and for the caller. An endpoint that crashes may close its connection too, so the last chunk would vouch for an end that nobody knows.
