--- a/packages/gateway/src/node/callRun.ts
+++ b/packages/gateway/src/node/callRun.ts
@@ -29,7 +29,7 @@
   readonly #budget: CallBudget
   readonly #crashRecord: CallCrashRecord
   readonly #triedIds = new Set<string>()
-  readonly #eventSplitter = new EventSplitter()
+  readonly #eventSplitter: EventSplitter
   #exchange: Exchange | undefined
   #responseHead: ResponseHead | undefined
   #endpointAttempt: EndpointAttempt | undefined
@@ -50,6 +50,7 @@
     this.#state = state
     this.#input = input
     this.#callerResponse = new CallerResponse(input.response, state.dialect)
+    this.#eventSplitter = new EventSplitter(input.attributes.resumeAfter)
     this.#budget = new CallBudget(input.attributes)
     this.#crashRecord = new CallCrashRecord(state, input)
   }
@@ -102,12 +103,11 @@
     this.#eventSplitter.beginAttempt()
     this.#triedIds.add(endpoint.entry.id)
     this.#endpointAttempt = new EndpointAttempt(endpoint, { generation: attributes.generation, uncachedTokens, estimateMs, nowMs: this.#state.clock.nowMs(), onObservation: observation => { this.#state.rollouts.record(endpoint.entry, route.name, observation) } })
-    const resumeAfter = this.#eventSplitter.lastId ?? attributes.resumeAfter
     this.#wasSent = true
     this.#startAttemptTimer(route, estimateMs)
     this.#state.metrics.attempts.inc({ service: service.name })
     if (endpoint.limit.requestsPerSecond !== undefined) this.#state.metrics.limitedAttempts.inc({ service: service.name })
-    const request = forwardedRequest({ state: this.#state, call: this.#input, endpointId: endpoint.entry.id, remainingMs: this.#remainingMs, resumeAfter })
+    const request = forwardedRequest({ state: this.#state, call: this.#input, endpointId: endpoint.entry.id, remainingMs: this.#remainingMs, resumeAfter: this.#eventSplitter.resumeAfter })
     this.#exchange = new Exchange(endpoint.connections, this.#state.dialect, request, {
       onHead: head => { this.#onHead(head) },
       onData: chunk => { this.#onData(chunk) },
--- a/packages/gateway/src/shared/eventSplitter.ts
+++ b/packages/gateway/src/shared/eventSplitter.ts
@@ -23,6 +23,17 @@
   /** Id after which the stream resumes; `undefined` once its first event is known, or if it does not resume. */
   #resumedAfter: string | undefined
   #isRepeating = false
+  readonly #callerResumesAfter: string | undefined
+
+  /** `callerResumesAfter` is the id of the last event that the caller has from an earlier request; `undefined` if the stream begins with this request. */
+  constructor (callerResumesAfter?: string) {
+    this.#callerResumesAfter = callerResumesAfter
+  }
+
+  /** Id after which the next attempt has to go on; `undefined` if it begins the stream. */
+  get resumeAfter (): string | undefined {
+    return this.#lastId ?? this.#callerResumesAfter
+  }
 
   /** Id of the last complete event that has one. */
   get lastId (): string | undefined {
@@ -47,7 +58,7 @@
   /** Discards a truncated event before the stream begins, or resumes at another endpoint. */
   beginAttempt (): void {
     this.#setPending(Buffer.alloc(0))
-    this.#resumedAfter = this.#lastId
+    this.#resumedAfter = this.resumeAfter
     this.#isRepeating = false
   }
 
