--- a/packages/gateway/src/node/callRun.ts
+++ b/packages/gateway/src/node/callRun.ts
@@ -229,9 +229,16 @@
 
   #onFailure (failure: ExchangeFailure): void {
     if (this.#isDone) return
-    const endpoint = this.#endAttempt(failure.kind === 'notConnected' ? undefined : false)
+    const saysNothing = failure.kind === 'notConnected' || failure.kind === 'unsendable'
+    const endpoint = this.#endAttempt(saysNothing ? undefined : false)
     this.#lastDetail = failure.detail
     this.#callerResponse.discardBuffered()
+    if (failure.kind === 'unsendable') {
+      this.#recordUnsent()
+      if (this.#verdict === notRun) this.#refuse('internal', failure.detail)
+      else this.#fail('backEndFailed', failure.detail)
+      return
+    }
     if (failure.kind === 'notConnected') {
       this.#state.recordHealth(endpoint, 'down')
       this.#recordUnsent()
--- a/packages/gateway/src/node/exchange.ts
+++ b/packages/gateway/src/node/exchange.ts
@@ -24,6 +24,8 @@
 export type ExchangeFailure =
   /** No connection could be made; nothing was sent. */
   | { readonly kind: 'notConnected', readonly detail: string }
+  /** The HTTP client refuses to send the request, for example because a header has a control character. This says nothing about the endpoint. */
+  | { readonly kind: 'unsendable', readonly detail: string }
   /** The connection was established, but it ended early or carried a response to another request. */
   | { readonly kind: 'broken', readonly detail: string }
   /** The connection is intact, but no usable response arrived in time. */
@@ -36,6 +38,8 @@
   onFailure (failure: ExchangeFailure): void
 }
 
+/** Error code of the HTTP client for a request that it does not send. */
+const invalidRequestCode = 'UND_ERR_INVALID_ARG'
 /** Limit of received bytes that belong to no body: response heads, chunk framing, chunk extensions and trailers. */
 const maxOverheadBytes = 128 * 1024
 /** Chunk framing that is accepted in addition, per byte of the body. A chunk of one byte has a framing of five bytes. */
@@ -80,7 +84,7 @@
         if (this.#isPaused) controller.pause()
       },
       onResponseEnd: () => { this.#onEnd() },
-      onResponseError: (_, error) => { this.#fail(error.message) }
+      onResponseError: (_, error) => { this.#fail(error.message, (error as NodeJS.ErrnoException).code === invalidRequestCode) }
     })
   }
 
@@ -143,10 +147,11 @@
     this.#fail(detail)
   }
 
-  #fail (detail: string): void {
+  #fail (detail: string, isUnsendable = false): void {
     if (this.#isFinished) return
     this.#isFinished = true
     this.#connections.release(this.#connection, false)
-    this.#listener.onFailure({ kind: this.#connection.isConnected() ? 'broken' : 'notConnected', detail })
+    const kind = isUnsendable ? 'unsendable' : this.#connection.isConnected() ? 'broken' : 'notConnected'
+    this.#listener.onFailure({ kind, detail })
   }
 }
