--- a/packages/gateway/src/node/callerResponse.ts
+++ b/packages/gateway/src/node/callerResponse.ts
@@ -40,11 +40,10 @@
     if (this.#response.headersSent) return
     this.#startedHead = head
     const headers = this.#dialect.responseHeaders(head.rawHeaders)
-    this.#isFramed = head.attributes.isChunked || head.attributes.contentLengthBytes !== undefined
-    // Without a length, the end of the connection marks the end of the response, for the endpoint and for the caller. An endpoint that crashes may close its connection too, so the last chunk would vouch for an end that nobody knows.
-    if (!this.#isFramed) this.#response.removeHeader('Transfer-Encoding')
-    if (closeConnection || !this.#isFramed) headers.push('Connection', 'close')
+    if (closeConnection) headers.push('Connection', 'close')
+    // A response without a length gets chunks, because the end of this process would look like its end otherwise: the operating system closes the connections of a killed process in the usual way.
     this.#response.writeHead(head.status, headers)
+    this.#isFramed = this.#response.chunkedEncoding || head.attributes.contentLengthBytes !== undefined
   }
 
   /** Sends bytes to the caller, and pauses the source until the caller has read them. */
--- a/packages/gateway/src/node/endpointConnections.ts
+++ b/packages/gateway/src/node/endpointConnections.ts
@@ -18,6 +18,8 @@
 /** Idle connections are closed this long before the keep-alive timeout that the endpoint announces. */
 const keepAliveMarginMs = 400
 
+type ProbeResult = 'listening' | 'refused' | 'unknown'
+
 export interface Connection {
   readonly client: Client
   /** Whether the socket ended with an error, such as a reset. */
@@ -46,7 +48,7 @@
   readonly #port: number
   readonly #idle: PooledConnection[] = []
   #openCount = 0
-  #pendingProbe: Promise<boolean> | undefined
+  #pendingProbe: Promise<ProbeResult> | undefined
 
   readonly #onSocket: (socket: net.Socket) => void
 
@@ -99,25 +101,32 @@
     else this.#close(pooled)
   }
 
-  /** Whether the endpoint accepts connections, probed shortly after a connection broke. Concurrent callers share one probe. */
-  async probeListening (): Promise<boolean> {
+  /** Whether the endpoint may accept connections, probed shortly after a connection broke. Concurrent callers share one probe. Only a refused connection shows that nothing listens. */
+  async mayListen (): Promise<boolean> {
     this.#pendingProbe ??= this.#probe().finally(() => { this.#pendingProbe = undefined })
-    return await this.#pendingProbe
+    return await this.#pendingProbe !== 'refused'
+  }
+
+  /**
+   * Whether the endpoint is known to run after one of its connections ended. Data on another connection would not show
+   * it, because it may have been sent before a crash. Each end is confirmed by a probe of its own that begins after it.
+   */
+  async confirmListening (): Promise<boolean> {
+    return await this.#probe() === 'listening'
   }
 
-  async #probe (): Promise<boolean> {
+  async #probe (): Promise<ProbeResult> {
     // A crashing process closes its connections before its listener, so a probe without delay could still succeed.
     await new Promise(resolve => { setTimeout(resolve, probeDelayMs) })
     return await new Promise(resolve => {
       const socket = net.connect({ host: this.#host, port: this.#port, timeout: connectTimeoutMs })
-      const finish = (isListening: boolean): void => {
-        resolve(isListening)
+      const finish = (result: ProbeResult): void => {
+        resolve(result)
         socket.destroy()
       }
-      socket.once('connect', () => { finish(true) })
-      // A timeout is inconclusive. Only a refused connection shows that nothing listens.
-      socket.once('timeout', () => { finish(true) })
-      socket.once('error', error => { finish((error as NodeJS.ErrnoException).code !== 'ECONNREFUSED') })
+      socket.once('connect', () => { finish('listening') })
+      socket.once('timeout', () => { finish('unknown') })
+      socket.once('error', error => { finish((error as NodeJS.ErrnoException).code === 'ECONNREFUSED' ? 'refused' : 'unknown') })
     })
   }
 
--- a/packages/gateway/src/node/exchange.ts
+++ b/packages/gateway/src/node/exchange.ts
@@ -2,6 +2,7 @@
 import type { Dispatcher } from 'undici'
 import type { ResponseAttributes } from '../shared/call.ts'
 import type { Dialect } from '../shared/dialect.ts'
+import { endsWithConnection, isFramed } from '../shared/responseFraming.ts'
 import type { Connection, EndpointConnections } from './endpointConnections.ts'
 
 export interface ExchangeRequest {
@@ -52,6 +53,8 @@
   readonly #listener: ExchangeListener
   #controller: Dispatcher.DispatchController | undefined
   #attributes: ResponseAttributes | undefined
+  readonly #method: string
+  #status = 0
   #isFinished = false
   #isPaused = false
   #bodyBytes = 0
@@ -60,6 +63,7 @@
     this.#connections = connections
     this.#connection = connections.acquire(request.isRepeatable)
     this.#listener = listener
+    this.#method = request.method
     const readBytesBefore = this.#connection.readBytes()
     this.#connection.onReadable = () => { this.#limitOverhead(readBytesBefore) }
     this.#connection.client.dispatch({
@@ -83,7 +87,7 @@
         this.#listener.onData(chunk)
         if (this.#isPaused) controller.pause()
       },
-      onResponseEnd: () => { this.#onEnd() },
+      onResponseEnd: () => { void this.#onEnd() },
       onResponseError: (_, error) => { this.#fail(error.message, (error as NodeJS.ErrnoException).code === invalidRequestCode) }
     })
   }
@@ -126,22 +130,27 @@
       return
     }
     this.#attributes = attributes
+    this.#status = status
     this.#listener.onHead({ status, rawHeaders, attributes })
   }
 
-  #onEnd (): void {
-    if (this.#isFinished) return
-    const isFramed = this.#attributes?.isChunked === true || this.#attributes?.contentLengthBytes !== undefined
-    // Without a length, the HTTP client reports a reset as the end of the body.
-    if (!isFramed && this.#connection.isReset()) {
-      this.#abortWith('the connection was reset before the end of the response')
+  async #onEnd (): Promise<void> {
+    if (this.#isFinished || this.#attributes === undefined) return
+    if (endsWithConnection(this.#method, this.#status, this.#attributes) && !await this.#isEndConfirmed()) {
+      this.#abortWith('the connection ended, and the endpoint may have crashed before the end of the response')
       return
     }
+    if (this.#isFinished) return
     this.#isFinished = true
-    this.#connections.release(this.#connection, isFramed)
+    this.#connections.release(this.#connection, isFramed(this.#attributes))
     this.#listener.onEnd()
   }
 
+  /** Whether the end of the connection is the end of the response. Without a length, the HTTP client reports a reset as the end of the body, and an endpoint that crashes closes its connections as well. */
+  async #isEndConfirmed (): Promise<boolean> {
+    return !this.#connection.isReset() && await this.#connections.confirmListening()
+  }
+
   #abortWith (detail: string): void {
     this.#controller?.abort(new Error(detail))
     this.#fail(detail)
--- a/packages/gateway/src/node/gatewayState.ts
+++ b/packages/gateway/src/node/gatewayState.ts
@@ -225,8 +225,8 @@
     if (endpoint === undefined) return
     this.recordHealth(endpoint, 'failed')
     if (content !== undefined) this.crashes.recordInterrupted(endpoint.entry, content, events)
-    void endpoint.connections.probeListening().then(isListening => {
-      if (!isListening) this.recordHealth(endpoint, 'down')
+    void endpoint.connections.mayListen().then(mayListen => {
+      if (!mayListen) this.recordHealth(endpoint, 'down')
     })
   }
 
--- a/scripts/bundleGateway.mjs
+++ b/scripts/bundleGateway.mjs
@@ -1,4 +1,5 @@
 // Bundles the gateway into one file, because a restarted process spends most of its first second on loading hundreds of modules.
+import { renameSync } from 'node:fs'
 import { build } from 'esbuild'
 
 // The parts of undici that the gateway uses. The index of undici also loads fetch, WebSocket and caches.
@@ -19,9 +20,13 @@
   }
 }
 
+const bundlePath = 'target/buckthorndrift.mjs'
+// The bundle is replaced as a whole, because tests that run at the same time bundle it and start it.
+const unfinishedPath = `${bundlePath}.${process.pid}`
+
 await build({
   entryPoints: ['platform/src/main.ts'],
-  outfile: 'target/buckthorndrift.mjs',
+  outfile: unfinishedPath,
   bundle: true,
   platform: 'node',
   target: 'node20',
@@ -33,3 +38,4 @@
   plugins: [useUndiciParts],
   banner: { js: "import { createRequire } from 'node:module'; const require = createRequire(import.meta.url);" }
 })
+renameSync(unfinishedPath, bundlePath)
