--- a/packages/gateway/src/node/callerResponse.ts
+++ b/packages/gateway/src/node/callerResponse.ts
@@ -1,7 +1,9 @@
 /** The response to a caller. Its beginning is buffered while the request may still be retried. */
 import type { ServerResponse } from 'node:http'
 import type { Dialect } from '../shared/dialect.ts'
+import { isFramed } from '../shared/responseFraming.ts'
 import type { ResponseHead } from './exchange.ts'
+import { setResetOnExit } from './resetOnExit.ts'
 
 /** Largest response that is buffered until it is complete, so that the request can be retried if the response is truncated. */
 const maxBufferedBytes = 64 * 1024
@@ -18,6 +20,8 @@
   #buffered: Buffer[] = []
   #bufferedBytes = 0
   #isFramed = false
+  /** Whether the end of this process resets the connection. */
+  #isGuarded = false
   #startedHead: ResponseHead | undefined
 
   constructor (response: ServerResponse, dialect: Dialect) {
@@ -40,10 +44,13 @@
     if (this.#response.headersSent) return
     this.#startedHead = head
     const headers = this.#dialect.responseHeaders(head.rawHeaders)
-    if (closeConnection) headers.push('Connection', 'close')
-    // A response without a length gets chunks, because the end of this process would look like its end otherwise: the operating system closes the connections of a killed process in the usual way.
+    this.#isFramed = isFramed(head.attributes)
+    // Without a length, the end of the connection marks the end of the response, for the endpoint and for the caller. The last chunk would vouch for an end that nobody knows: a faulty endpoint may end such a response early in the usual way.
+    if (!this.#isFramed) this.#response.removeHeader('Transfer-Encoding')
+    if (closeConnection || !this.#isFramed) headers.push('Connection', 'close')
     this.#response.writeHead(head.status, headers)
-    this.#isFramed = this.#response.chunkedEncoding || head.attributes.contentLengthBytes !== undefined
+    // The operating system closes the connections of a killed process in the usual way, which would look like the end of the response.
+    if (!this.#isFramed) this.#isGuarded = setResetOnExit(this.#response.socket, true)
   }
 
   /** Sends bytes to the caller, and pauses the source until the caller has read them. */
@@ -70,6 +77,9 @@
   }
 
   end (): void {
+    const { socket } = this.#response
+    // Before the last bytes are handed to the operating system, the end of this process still truncates the response.
+    if (this.#isGuarded) this.#response.once('finish', () => { setResetOnExit(socket, false) })
     this.#response.end()
   }
 
--- a/scripts/bundleGateway.mjs
+++ b/scripts/bundleGateway.mjs
@@ -32,6 +32,8 @@
   target: 'node20',
   format: 'esm',
   conditions: ['source'],
+  // It loads a binary file from its own folder.
+  external: ['koffi'],
   minify: true,
   keepNames: true,
   legalComments: 'none',
