--- a/packages/gateway/src/node/callRun.ts
+++ b/packages/gateway/src/node/callRun.ts
@@ -1,5 +1,5 @@
 /** Runs one request of a caller: chooses an endpoint, sends the request, retries it where that is safe, and passes the response on. */
-import { mayHaveRun, notRun, type Failure, type FailureReason, type Verdict } from '@buckthorndrift/policy'
+import { notRun, type Failure, type FailureReason } from '@buckthorndrift/policy'
 import { attemptTimeoutMs, isRepeatable, classifyResponse } from '../shared/attemptRules.ts'
 import { EventSplitter } from '../shared/eventSplitter.ts'
 import type { Route } from '../shared/fleet.ts'
@@ -8,19 +8,19 @@
 import { hasCallerLeft, type CallInput } from './callInput.ts'
 import { CallBudget, failureOf } from './callBudget.ts'
 import { CallCrashRecord } from './callCrashRecord.ts'
+import { CallHistory } from './callHistory.ts'
 import { CallerResponse } from './callerResponse.ts'
 import type { TrackedEndpoint } from './trackedEndpoints.ts'
 import { Exchange, type ResponseHead, type ExchangeFailure } from './exchange.ts'
 import type { CallOutcome, GatewayState, Placement } from './gatewayState.ts'
 import { EndpointAttempt } from './endpointAttempt.ts'
 import { forwardedRequest } from './forwardedRequest.ts'
+import { stopRefusal, stopTooSoonDetail } from './stopRefusal.ts'
 
 /** Another attempt is started only if at least this much time is left before the deadline. */
 const minAttemptMs = 15
 /** Status of a response that consists of events. */
 const streamStatus = 200
-/** Limit of attempts that did not run the request: connections that failed, and responses that rejected it. */
-const maxUnsentAttempts = 3
 
 export class CallRun {
   readonly #state: GatewayState
@@ -28,19 +28,13 @@
   readonly #callerResponse: CallerResponse
   readonly #budget: CallBudget
   readonly #crashRecord: CallCrashRecord
-  readonly #triedIds = new Set<string>()
+  readonly #history = new CallHistory()
   readonly #eventSplitter: EventSplitter
   #exchange: Exchange | undefined
   #responseHead: ResponseHead | undefined
   #endpointAttempt: EndpointAttempt | undefined
   #deadlineTimer: NodeJS.Timeout | undefined
   #attemptTimer: NodeJS.Timeout | undefined
-  #verdict: Verdict = notRun
-  /** Number of endpoints that may have run the request. */
-  #executions = 0
-  #unsentAttempts = 0
-  /** Whether an endpoint may have run the request, or an attempt is in flight. */
-  #wasSent = false
   #placement: Placement | undefined
   readonly #timings = new ResponseTimings()
   #isDone = false
@@ -86,9 +80,13 @@
       this.#onDeadline()
       return
     }
-    const placement = this.#state.place(this.#input, this.#triedIds)
+    if (!this.#state.mayStart(this.#input.route, this.#input.deadlineAtMs)) {
+      this.#endForStop(stopTooSoonDetail)
+      return
+    }
+    const placement = this.#state.place(this.#input, this.#history.triedIds)
     if (placement === undefined) {
-      if (this.#executions > 0 || this.#verdict !== notRun) this.#fail('backEndFailed', this.#lastDetail)
+      if (this.#history.verdict !== notRun) this.#fail('backEndFailed', this.#lastDetail)
       else this.#refuse('noEndpoint', 'no endpoint takes the request', this.#state.retryAfterMs(this.#input.service.name))
       return
     }
@@ -101,9 +99,8 @@
     const { attributes, service, route } = this.#input
     this.#responseHead = undefined
     this.#eventSplitter.beginAttempt()
-    this.#triedIds.add(endpoint.entry.id)
+    this.#history.recordSent(endpoint.entry.id)
     this.#endpointAttempt = new EndpointAttempt(endpoint, { generation: attributes.generation, uncachedTokens, estimateMs, nowMs: this.#state.clock.nowMs(), onObservation: observation => { this.#state.rollouts.record(endpoint.entry, route.name, observation) } })
-    this.#wasSent = true
     this.#startAttemptTimer(route, estimateMs)
     this.#state.metrics.attempts.inc({ service: service.name })
     if (endpoint.limit.requestsPerSecond !== undefined) this.#state.metrics.limitedAttempts.inc({ service: service.name })
@@ -120,7 +117,7 @@
   #startAttemptTimer (route: Route, estimateMs: number): void {
     const timeoutMs = attemptTimeoutMs(route, estimateMs)
     clearTimeout(this.#attemptTimer)
-    if (timeoutMs === undefined || this.#executions + 1 >= route.maxAttempts) return
+    if (timeoutMs === undefined || this.#history.executions + 1 >= route.maxAttempts) return
     this.#attemptTimer = setTimeout(() => {
       if (this.#exchange !== undefined && this.#responseHead === undefined) this.#abortAttempt('the endpoint did not respond in time')
     }, timeoutMs)
@@ -145,8 +142,7 @@
       this.#onRejected(head.status)
       return
     }
-    this.#executions++
-    this.#verdict = mayHaveRun
+    this.#history.recordExecution()
     if (classification.kind === 'unusable') this.#abortAttempt(classification.detail)
     else if (this.#callerResponse.hasStarted && !this.#callerResponse.isContinuedBy(head)) this.#abortAttempt(`the response of the endpoint, with status ${head.status}, does not continue the stream`)
   }
@@ -215,15 +211,14 @@
 
   #onRejected (status: number): void {
     const endpoint = this.#endAttempt()
-    const nowMs = this.#state.clock.nowMs()
     if (status === 421) this.#state.recordHealth(endpoint, 'down')
     this.#lastDetail = `the endpoint rejected the request with ${status}`
-    this.#recordUnsent()
-    if (this.#unsentAttempts < maxUnsentAttempts && this.#remainingMs > minAttemptMs && this.#state.retryQuotaOf(this.#input.service.name).tryTake(nowMs)) {
+    this.#history.recordUnsent()
+    if (this.#history.mayTryUnsent && this.#remainingMs > minAttemptMs && this.#state.retryQuotaOf(this.#input.service.name).tryTake(this.#state.clock.nowMs())) {
       this.#retry(this.#lastDetail)
       return
     }
-    if (this.#verdict === notRun) this.#refuse('endpointFull', 'no endpoint has capacity for the request', this.#state.retryAfterMs(this.#input.service.name))
+    if (this.#history.verdict === notRun) this.#refuse('endpointFull', 'no endpoint has capacity for the request', this.#state.retryAfterMs(this.#input.service.name))
     else this.#fail('backEndFailed', this.#lastDetail)
   }
 
@@ -234,27 +229,26 @@
     this.#lastDetail = failure.detail
     this.#callerResponse.discardBuffered()
     if (failure.kind === 'unsendable') {
-      this.#recordUnsent()
-      if (this.#verdict === notRun) this.#refuse('internal', failure.detail)
+      this.#history.recordUnsent()
+      if (this.#history.verdict === notRun) this.#refuse('internal', failure.detail)
       else this.#fail('backEndFailed', failure.detail)
       return
     }
     if (failure.kind === 'notConnected') {
       this.#state.recordHealth(endpoint, 'down')
-      this.#recordUnsent()
-      if (this.#unsentAttempts < maxUnsentAttempts && this.#remainingMs > minAttemptMs) {
+      this.#history.recordUnsent()
+      if (this.#history.mayTryUnsent && this.#remainingMs > minAttemptMs) {
         this.#retry(failure.detail)
         return
       }
-      if (this.#verdict === notRun) this.#refuse('noEndpoint', 'no endpoint could be reached', this.#state.retryAfterMs(this.#input.service.name))
+      if (this.#history.verdict === notRun) this.#refuse('noEndpoint', 'no endpoint could be reached', this.#state.retryAfterMs(this.#input.service.name))
       else this.#fail('endpointLost', failure.detail)
       return
     }
     if (failure.kind === 'broken') this.#crashRecord.recordInterrupted(endpoint, this.#eventSplitter.count)
     else this.#state.recordHealth(endpoint, 'failed')
-    if (this.#responseHead === undefined) this.#executions++
+    if (this.#responseHead === undefined) this.#history.recordExecution()
     this.#responseHead = undefined
-    this.#verdict = mayHaveRun
     // Only a stream can go on where it broke off. Any other response would begin anew behind the part that the caller has.
     const canGoOn = this.#isStream || !this.#callerResponse.hasStarted
     if (canGoOn && isRepeatable(this.#input.route) && this.#tryTakeRetry()) {
@@ -264,26 +258,21 @@
     this.#fail('endpointLost', failure.detail)
   }
 
-  #recordUnsent (): void {
-    this.#unsentAttempts++
-    this.#wasSent = this.#executions > 0
-  }
-
   /** Whether the request may run once more; if so, takes the retry from the quota. */
   #tryTakeRetry (): boolean {
     const { route, service } = this.#input
-    if (this.#executions >= route.maxAttempts || this.#remainingMs < minAttemptMs) return false
+    if (this.#history.executions >= route.maxAttempts || this.#remainingMs < minAttemptMs) return false
     return this.#state.retryQuotaOf(service.name).tryTake(this.#state.clock.nowMs())
   }
 
   #retry (detail: string): void {
     const suspicion = this.#crashRecord.suspicion()
     if (suspicion !== undefined) {
-      this.#respondFailure(this.#verdict === notRun ? 'refused' : 'failed', { verdict: this.#verdict, reason: 'crashSuspect', detail: suspicion })
+      this.#respondFailure(this.#history.verdict === notRun ? 'refused' : 'failed', { verdict: this.#history.verdict, reason: 'crashSuspect', detail: suspicion })
       return
     }
     this.#state.metrics.retries.inc({ service: this.#input.service.name })
-    this.#state.log.event('requestRetried', { attemptId: this.#input.attributes.attemptId ?? '', detail, tried: [...this.#triedIds].join(' ') })
+    this.#state.log.event('requestRetried', { attemptId: this.#input.attributes.attemptId ?? '', detail, tried: [...this.#history.triedIds].join(' ') })
     this.#attempt()
   }
 
@@ -296,10 +285,23 @@
     if (this.#isDone) return
     this.#exchange?.abort()
     this.#state.recordHealth(this.#endAttempt(false), 'failed')
-    if (this.#wasSent) this.#verdict = mayHaveRun
+    this.#history.recordEnd()
     this.#fail('deadlineExceeded', 'the deadline passed before the response was complete')
   }
 
+  /** Ends the request when the grace period of a planned stop ends. The caller gets an answer where none has begun. */
+  stop (): void {
+    this.#exchange?.abort()
+    this.#endAttempt()
+    this.#history.recordEnd()
+    this.#endForStop('this router shut down before the response was complete')
+  }
+
+  #endForStop (detail: string): void {
+    if (this.#history.verdict === notRun) this.#respondFailure('refused', stopRefusal(detail))
+    else this.#fail('endpointLost', detail)
+  }
+
   #onCallerDisconnect (): void {
     this.#exchange?.abort()
     this.#endpointAttempt?.endAbandoned(this.#input.route.objectiveMs, this.#state.clock.nowMs())
@@ -311,7 +313,7 @@
   }
 
   #fail (reason: FailureReason, detail: string): void {
-    this.#respondFailure('failed', { verdict: this.#verdict, reason, detail })
+    this.#respondFailure('failed', { verdict: this.#history.verdict, reason, detail })
   }
 
   #respondFailure (outcome: CallOutcome['outcome'], failure: Failure): void {
@@ -331,14 +333,14 @@
     this.#isDone = true
     clearTimeout(this.#deadlineTimer)
     clearTimeout(this.#attemptTimer)
-    this.#budget.settle(this.#wasSent, this.#eventSplitter.count * (this.#input.service.engine?.tokensPerEvent ?? 1))
+    this.#budget.settle(this.#history.wasSent, this.#eventSplitter.count * (this.#input.service.engine?.tokensPerEvent ?? 1))
     this.#state.recordOutcome(this.#input, {
       outcome,
       status,
       reason,
       detail: this.#lastDetail,
-      endpointIds: [...this.#triedIds],
-      runs: this.#executions,
+      endpointIds: [...this.#history.triedIds],
+      runs: this.#history.executions,
       events: this.#eventSplitter.count,
       longestGapMs: this.#timings.longestGapMs,
       firstByteMs: this.#timings.firstByteAfterMs(this.#input.arrivedMs),
--- a/packages/gateway/src/node/callerServer.ts
+++ b/packages/gateway/src/node/callerServer.ts
@@ -10,6 +10,7 @@
 import { sendFailure } from './sendFailure.ts'
 import type { GatewayState } from './gatewayState.ts'
 import { readBody } from './readBody.ts'
+import { retryElsewhereMs, stopRefusal, stopTooSoonDetail } from './stopRefusal.ts'
 
 const maxHeaderBytes = 64 * 1024
 /** Interval at which Node.js checks the header timeout of incomplete requests. */
@@ -18,9 +19,6 @@
 const responseBufferBytes = 32 * 1024
 /** Time after the start of a graceful shutdown during which new requests are still accepted. Later requests on keep-alive connections are refused, so that callers retry at another router. */
 const shutdownAcceptMs = 3000
-/** Retry delay for callers that should retry at another router. */
-const retryElsewhereMs = 50
-
 const badRequestStatus = 400
 /** Statuses of requests that cannot be read, by the error code of Node.js. */
 const unreadableStatuses: Readonly<Record<string, number>> = { ERR_HTTP_REQUEST_TIMEOUT: 408, HPE_HEADER_OVERFLOW: 431, HPE_CHUNK_EXTENSIONS_OVERFLOW: 413 }
@@ -39,6 +37,7 @@
   /** Connections with a request that is not answered yet. */
   readonly #answering = new Set<Duplex>()
   readonly #unreadable = new WeakSet<Duplex>()
+  readonly #runs = new Set<CallRun>()
   #stoppingSinceMs: number | undefined
 
   constructor (state: GatewayState) {
@@ -69,6 +68,11 @@
     this.#stoppingSinceMs = this.#state.clock.nowMs()
   }
 
+  /** Ends the requests that are still open at the end of the grace period. */
+  endRequests (): void {
+    for (const run of this.#runs) run.stop()
+  }
+
   /** Resets the connections whose responses are not complete. A response without a length would look complete if its connection were closed. */
   resetUnfinished (): void {
     for (const socket of this.#answering) (socket as Socket).resetAndDestroy()
@@ -128,8 +132,12 @@
       this.#sendRefusal(request, response, { verdict: notRun, reason: 'overloaded', detail: 'the VM of this router is near its limits', retryAfterMs: retryElsewhereMs })
       return
     }
-    this.#state.retryQuotaOf(service.name).recordRequest(arrivedMs)
     const timeoutMs = Math.min(attributes.deadlineMs ?? route.timeoutMs, route.timeoutMs)
+    if (!this.#state.mayStart(route, arrivedMs + timeoutMs)) {
+      this.#sendRefusal(request, response, stopRefusal(stopTooSoonDetail))
+      return
+    }
+    this.#state.retryQuotaOf(service.name).recordRequest(arrivedMs)
     const input: CallInput = {
       request,
       response,
@@ -148,6 +156,8 @@
       return
     }
     const run = new CallRun(this.#state, input)
+    this.#runs.add(run)
+    response.on('close', () => { this.#runs.delete(run) })
     await run.start()
   }
 
@@ -167,7 +177,7 @@
     const { routeTable: table } = this.#state
     if (table === undefined) return refusal('noEndpoint', 'no configuration is known yet', this.#state.retryAfterMs())
     if (this.#stoppingSinceMs !== undefined && this.#state.clock.nowMs() - this.#stoppingSinceMs > shutdownAcceptMs) {
-      return refusal('draining', 'this router is shutting down', retryElsewhereMs)
+      return { kind: 'refused', failure: stopRefusal('this router is shutting down') }
     }
     const route = table.match(request.headers.host ?? '', request.url ?? '/')
     if (route === undefined) return refusal('unknownService', 'no route matches the host and path')
--- a/packages/gateway/src/node/gatewayState.ts
+++ b/packages/gateway/src/node/gatewayState.ts
@@ -1,6 +1,6 @@
 /** State that all requests of a gateway share: its view of the fleet, and the routing decisions that depend on it. */
 import type { Log } from '@buckthorndrift/kernel'
-import { placeCall, placeGeneration, rankByRendezvous, type FailureReason, type Hasher, type OverloadGuard } from '@buckthorndrift/policy'
+import { canEndBeforeStop, placeCall, placeGeneration, rankByRendezvous, RecentDurations, type FailureReason, type Hasher, type OverloadGuard } from '@buckthorndrift/policy'
 import type { Deployment } from '../shared/deployment.ts'
 import type { ResponseAttributes } from '../shared/call.ts'
 import type { Dialect } from '../shared/dialect.ts'
@@ -93,8 +93,10 @@
   readonly #hasher: Hasher
   readonly #random: () => number
   readonly #retryQuotas = new Map<string, RetryQuota>()
+  readonly #durations = new RecentDurations()
   routeTable: RouteTable | undefined
-  isStopping = false
+  /** When this router ends the requests that are still open; `undefined` while no planned stop has begun. */
+  stopAtMs: number | undefined
   openRequests = 0
 
   constructor (options: GatewayStateOptions) {
@@ -114,6 +116,18 @@
     this.#random = options.random
   }
 
+  /** Whether a planned stop has begun. */
+  get isStopping (): boolean {
+    return this.stopAtMs !== undefined
+  }
+
+  /** Whether a request may still be sent to an endpoint: always, unless a planned stop would cut it off. */
+  mayStart (route: Route, deadlineAtMs: number): boolean {
+    if (this.stopAtMs === undefined) return true
+    const nowMs = this.clock.nowMs()
+    return canEndBeforeStop({ untilStopMs: this.stopAtMs - nowMs, untilDeadlineMs: deadlineAtMs - nowMs, longestMs: this.#durations.longestMs(route.name, nowMs) })
+  }
+
   /** Whether responses close their connection, so that callers connect to another router for their next request. */
   get shouldCloseConnections (): boolean {
     return this.isStopping || this.guard.isDiverting
@@ -278,7 +292,9 @@
   /** Records a finished request in the log and the metrics. */
   recordOutcome (input: CallInput, result: CallOutcome): void {
     const { route, service, organisation, attributes, configurationVersion } = input
-    const durationMs = Math.round(this.clock.nowMs() - input.arrivedMs)
+    const nowMs = this.clock.nowMs()
+    const durationMs = Math.round(nowMs - input.arrivedMs)
+    if (result.outcome === 'finished') this.#durations.record(route.name, durationMs, nowMs)
     this.metrics.requests.inc({ service: service.name, outcome: result.outcome })
     this.metrics.durationMs.observe({ service: service.name }, durationMs)
     if (result.firstByteMs !== undefined) this.metrics.firstByteMs.observe({ service: service.name }, result.firstByteMs)
@@ -303,7 +319,7 @@
       uncachedTokens: result.placement?.uncachedTokens ?? 0,
       isHome: result.placement?.isHome ?? false,
       durationMs,
-      leftMs: Math.round(input.deadlineAtMs - this.clock.nowMs()),
+      leftMs: Math.round(input.deadlineAtMs - nowMs),
       promptTokens: attributes.generation?.promptTokens ?? 0
     })
   }
--- a/packages/gateway/src/node/startGateway.ts
+++ b/packages/gateway/src/node/startGateway.ts
@@ -59,6 +59,8 @@
 /** Longest wait for the store while unspent budget tokens are returned. */
 const budgetReturnTimeoutMs = 400
 const stopCheckIntervalMs = 50
+/** Time for handing the answers of requests that end with the grace period to the operating system. */
+const lastAnswersMs = 50
 /** Maximum number of connections that wait to be accepted. */
 const backlog = 1024
 
@@ -169,8 +171,8 @@
   }
 
   /** Closes the caller listener and resolves when no request is open, or when the grace period ends. */
-  function waitForRequests (startedMs: number): Promise<void> {
-    const limitMs = deployment.graceMs - exitMarginMs
+  function waitForRequests (startedMs: number, stopAtMs: number): Promise<void> {
+    const limitMs = stopAtMs - startedMs
     return new Promise(resolve => {
       const check = setInterval(() => {
         const elapsedMs = clock.nowMs() - startedMs
@@ -189,10 +191,12 @@
     isReady,
     async stop () {
       const startedMs = clock.nowMs()
-      state.isStopping = true
+      state.stopAtMs = startedMs + deployment.graceMs - exitMarginMs
       callers.beginShutdown()
       log.event('gatewayStopping', { openRequests: state.openRequests })
-      await waitForRequests(startedMs)
+      await waitForRequests(startedMs, state.stopAtMs)
+      callers.endRequests()
+      await new Promise(resolve => { setTimeout(resolve, lastAnswersMs) })
       followers.stop()
       rollouts.stop()
       limits.stop()
--- /dev/null
+++ b/packages/policy/src/shared/shutdown/index.ts
@@ -0,0 +1,2 @@
+export { canEndBeforeStop, type GraceAdmissionInput } from './graceAdmission.ts'
+export { RecentDurations } from './recentDurations.ts'
