--- a/packages/gateway/src/node/callRun.ts
+++ b/packages/gateway/src/node/callRun.ts
@@ -43,7 +43,7 @@
   constructor (state: GatewayState, input: CallInput) {
     this.#state = state
     this.#input = input
-    this.#callerResponse = new CallerResponse(input.response, state.dialect)
+    this.#callerResponse = new CallerResponse(state, input)
     this.#eventSplitter = new EventSplitter(input.attributes.resumeAfter)
     this.#budget = new CallBudget(input.attributes)
     this.#crashRecord = new CallCrashRecord(state, input)
--- a/packages/gateway/src/node/callerResponse.ts
+++ b/packages/gateway/src/node/callerResponse.ts
@@ -1,8 +1,9 @@
 /** The response to a caller. Its beginning is buffered while the request may still be retried. */
 import type { ServerResponse } from 'node:http'
-import type { Dialect } from '../shared/dialect.ts'
 import { isFramed } from '../shared/responseFraming.ts'
+import type { CallInput } from './callInput.ts'
 import type { ResponseHead } from './exchange.ts'
+import type { GatewayState } from './gatewayState.ts'
 import { setResetOnExit } from './resetOnExit.ts'
 
 /** Largest response that is buffered until it is complete, so that the request can be retried if the response is truncated. */
@@ -15,8 +16,9 @@
 }
 
 export class CallerResponse {
+  readonly #state: Pick<GatewayState, 'dialect' | 'log'>
   readonly #response: ServerResponse
-  readonly #dialect: Dialect
+  readonly #attemptId: string | undefined
   #buffered: Buffer[] = []
   #bufferedBytes = 0
   #isFramed = false
@@ -24,9 +26,10 @@
   #isGuarded = false
   #startedHead: ResponseHead | undefined
 
-  constructor (response: ServerResponse, dialect: Dialect) {
+  constructor (state: Pick<GatewayState, 'dialect' | 'log'>, { response, attributes }: CallInput) {
+    this.#state = state
     this.#response = response
-    this.#dialect = dialect
+    this.#attemptId = attributes.attemptId
   }
 
   /** Whether a part of the response was sent to the caller. */
@@ -43,14 +46,19 @@
   writeHead (head: ResponseHead, closeConnection: boolean): void {
     if (this.#response.headersSent) return
     this.#startedHead = head
-    const headers = this.#dialect.responseHeaders(head.rawHeaders)
+    const headers = this.#state.dialect.responseHeaders(head.rawHeaders)
     this.#isFramed = isFramed(head.attributes)
     // Without a length, the end of the connection marks the end of the response, for the endpoint and for the caller. The last chunk would vouch for an end that nobody knows: a faulty endpoint may end such a response early in the usual way.
     if (!this.#isFramed) this.#response.removeHeader('Transfer-Encoding')
     if (closeConnection || !this.#isFramed) headers.push('Connection', 'close')
     this.#response.writeHead(head.status, headers)
-    // The operating system closes the connections of a killed process in the usual way, which would look like the end of the response.
-    if (!this.#isFramed) this.#isGuarded = setResetOnExit(this.#response.socket, true)
+    if (!this.#isFramed) this.#guardEnd()
+  }
+
+  /** The operating system closes the connections of a killed process in the usual way, which would look like the end of a response without a length. */
+  #guardEnd (): void {
+    this.#isGuarded = setResetOnExit(this.#response.socket, true)
+    if (!this.#isGuarded) this.#state.log.event('responseEndUnguarded', { attemptId: this.#attemptId ?? '' })
   }
 
   /** Sends bytes to the caller, and pauses the source until the caller has read them. */
