--- a/packages/gateway/src/node/gatewayState.ts
+++ b/packages/gateway/src/node/gatewayState.ts
@@ -1,6 +1,7 @@
 /** State that all requests of a gateway share: its view of the fleet, and the routing decisions that depend on it. */
 import type { Log } from '@buckthorndrift/kernel'
 import { canEndBeforeStop, placeCall, placeGeneration, rankByRendezvous, RecentDurations, type FailureReason, type Hasher, type OverloadGuard } from '@buckthorndrift/policy'
+import { isRepeatable } from '../shared/attemptRules.ts'
 import type { Deployment } from '../shared/deployment.ts'
 import type { ResponseAttributes } from '../shared/call.ts'
 import type { Dialect } from '../shared/dialect.ts'
@@ -125,7 +126,7 @@
   mayStart (route: Route, deadlineAtMs: number): boolean {
     if (this.stopAtMs === undefined) return true
     const nowMs = this.clock.nowMs()
-    return canEndBeforeStop({ untilStopMs: this.stopAtMs - nowMs, untilDeadlineMs: deadlineAtMs - nowMs, longestMs: this.#durations.longestMs(route.name, nowMs) })
+    return canEndBeforeStop({ untilStopMs: this.stopAtMs - nowMs, untilDeadlineMs: deadlineAtMs - nowMs, isRepeatable: isRepeatable(route), durations: this.#durations.of(route.name, nowMs) })
   }
 
   /** Whether responses close their connection, so that callers connect to another router for their next request. */
--- a/packages/policy/src/shared/shutdown/index.ts
+++ b/packages/policy/src/shared/shutdown/index.ts
@@ -1,2 +1,2 @@
 export { canEndBeforeStop, type GraceAdmissionInput } from './graceAdmission.ts'
-export { RecentDurations } from './recentDurations.ts'
+export { RecentDurations, type Durations } from './recentDurations.ts'
--- a/packages/policy/src/shared/shutdown/recentDurations.ts
+++ b/packages/policy/src/shared/shutdown/recentDurations.ts
@@ -1,22 +1,40 @@
-/** Longest durations of recent requests by route, in memory that is bounded by the routes in use. */
+/** How long recent requests took, by route, in memory that is bounded by the routes in use. */
 
 /** Durations count for one to two of these periods. */
 const periodMs = 30_000
 
+export interface Durations {
+  readonly meanMs: number
+  readonly longestMs: number
+}
+
+interface PeriodDurations {
+  readonly requests: number
+  readonly sumMs: number
+  readonly longestMs: number
+}
+
+const none: PeriodDurations = { requests: 0, sumMs: 0, longestMs: 0 }
+
+function combine (a: PeriodDurations, b: PeriodDurations): PeriodDurations {
+  return { requests: a.requests + b.requests, sumMs: a.sumMs + b.sumMs, longestMs: Math.max(a.longestMs, b.longestMs) }
+}
+
 export class RecentDurations {
-  #current = new Map<string, number>()
-  #previous: ReadonlyMap<string, number> = new Map()
+  #current = new Map<string, PeriodDurations>()
+  #previous: ReadonlyMap<string, PeriodDurations> = new Map()
   #periodStartMs = -Infinity
 
   record (route: string, durationMs: number, nowMs: number): void {
     this.#advance(nowMs)
-    this.#current.set(route, Math.max(durationMs, this.#current.get(route) ?? 0))
+    this.#current.set(route, combine(this.#current.get(route) ?? none, { requests: 1, sumMs: durationMs, longestMs: durationMs }))
   }
 
-  longestMs (route: string, nowMs: number): number | undefined {
+  /** `undefined` if no request of the route ended lately. */
+  of (route: string, nowMs: number): Durations | undefined {
     this.#advance(nowMs)
-    const [current, previous] = [this.#current.get(route), this.#previous.get(route)]
-    return current === undefined || previous === undefined ? current ?? previous : Math.max(current, previous)
+    const { requests, sumMs, longestMs } = combine(this.#current.get(route) ?? none, this.#previous.get(route) ?? none)
+    return requests === 0 ? undefined : { meanMs: sumMs / requests, longestMs }
   }
 
   #advance (nowMs: number): void {
