--- a/packages/gateway/src/node/exchange.ts
+++ b/packages/gateway/src/node/exchange.ts
@@ -87,7 +87,7 @@
         this.#listener.onData(chunk)
         if (this.#isPaused) controller.pause()
       },
-      onResponseEnd: () => { void this.#onEnd() },
+      onResponseEnd: () => { this.#onEnd() },
       onResponseError: (_, error) => { this.#fail(error.message, (error as NodeJS.ErrnoException).code === invalidRequestCode) }
     })
   }
@@ -134,23 +134,33 @@
     this.#listener.onHead({ status, rawHeaders, attributes })
   }
 
-  async #onEnd (): Promise<void> {
+  #onEnd (): void {
     if (this.#isFinished || this.#attributes === undefined) return
-    if (endsWithConnection(this.#method, this.#status, this.#attributes) && !await this.#isEndConfirmed()) {
-      this.#abortWith('the connection ended, and the endpoint may have crashed before the end of the response')
+    if (!endsWithConnection(this.#method, this.#status, this.#attributes)) {
+      this.#finish(this.#attributes)
       return
     }
+    // Without a length, the HTTP client reports a reset as the end of the body.
+    if (this.#connection.isReset()) {
+      this.#abortWith('the connection was reset before the end of the response')
+      return
+    }
+    this.#confirmEnd(this.#attributes).catch((error: unknown) => { this.#listener.onFailure({ kind: 'unusable', detail: String(error) }) })
+  }
+
+  /** The end of the connection is the end of the response only if the endpoint still runs, because one that crashes closes its connections as well. */
+  async #confirmEnd (attributes: ResponseAttributes): Promise<void> {
+    if (await this.#connections.confirmListening()) this.#finish(attributes)
+    else this.#fail('the connection ended, and the endpoint may have crashed before the end of the response')
+  }
+
+  #finish (attributes: ResponseAttributes): void {
     if (this.#isFinished) return
     this.#isFinished = true
-    this.#connections.release(this.#connection, isFramed(this.#attributes))
+    this.#connections.release(this.#connection, isFramed(attributes))
     this.#listener.onEnd()
   }
 
-  /** Whether the end of the connection is the end of the response. Without a length, the HTTP client reports a reset as the end of the body, and an endpoint that crashes closes its connections as well. */
-  async #isEndConfirmed (): Promise<boolean> {
-    return !this.#connection.isReset() && await this.#connections.confirmListening()
-  }
-
   #abortWith (detail: string): void {
     this.#controller?.abort(new Error(detail))
     this.#fail(detail)
