--- a/packages/policy/src/shared/shutdown/graceAdmission.ts
+++ b/packages/policy/src/shared/shutdown/graceAdmission.ts
@@ -1,6 +1,5 @@
-import type { Durations } from './recentDurations.ts'
-
 /** Which requests a router still sends to an endpoint during a planned stop. One that cannot end before the stop would be cut off, and its caller could not tell whether it ran. */
+import type { Durations } from './recentDurations.ts'
 
 export interface GraceAdmissionInput {
   /** Time until the router ends open requests. */
