--- a/packages/gateway/src/shared/deployment.ts
+++ b/packages/gateway/src/shared/deployment.ts
@@ -27,7 +27,7 @@
   /** Retries that all routers together may send a service in one window in addition to `retryShare`. */
   readonly retrySlack: number
   readonly retryWindowMs: number
-  /** Share of the requests of a service that a version under trial may receive. */
+  /** Share of the requests of a service that a version under trial may receive; 0 in a deployment without rollouts. */
   readonly trialShare: number
   /** Requests that a version under trial may receive in addition to `trialShare`. */
   readonly trialSlack: number
