Keep routers that can serve in rotation, and shed connections that cannot be accepted in time

All small routers withdrew from 0.75 of their processor on, which cold code reaches in the first seconds, so that fewer than half of a failure domain were ready. The balancer then uses all of them again, and the crowd stayed at the overloaded router for 27 s. There the event loop takes one connection a turn. The queue of connections that wait to be accepted filled (1,144 files at a router with a backlog of 1,024), and some 1,700 attempts ended at their callers' deadline unread.

Change: a router withdraws from 0.9 of its processor on. When the same callers overload it again soon, it stays away twice as long. A queue of connections that does not empty for 200 ms is closed unread until it is empty, so that callers connect elsewhere.

--- a/packages/gateway/src/node/gatewayMetrics.ts
+++ b/packages/gateway/src/node/gatewayMetrics.ts
@@ -1,5 +1,6 @@
 /** Prometheus metrics of the gateway. */
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
+import type { ResourceUse } from '@buckthorndrift/policy'
 
 const prefix = 'buckthorndrift_'
 const latencyBucketsMs = [5, 10, 25, 50, 100, 200, 400, 800, 1600, 3200, 6400, 15_000]
@@ -9,6 +10,7 @@
   readonly registry: Registry
   readonly requests: Counter<'service' | 'outcome'>
   readonly refusals: Counter<'reason'>
+  readonly shedConnections: Counter
   readonly attempts: Counter<'service'>
   readonly limitedAttempts: Counter<'service'>
   readonly retries: Counter<'service'>
@@ -24,8 +26,8 @@
 /** Functions that supply the gauge values when the metrics are read. */
 export interface GaugeSources {
   openRequests (): number
-  /** Used share of the network link or the processor, whichever is higher. */
-  resourceUse (): number
+  /** Used shares of the network link and the processor. */
+  resourceUse (): ResourceUse
   loopDelayMs (): number
   /** Time since the last response of the store. */
   storeAgeMs (): number
@@ -49,7 +51,9 @@
   }
 
   gauge('open_requests', 'requests that are being answered', sources.openRequests)
-  gauge('resource_use_ratio', 'used share of the network link or the processor, whichever is scarcer', sources.resourceUse)
+  gauge('resource_use_ratio', 'used share of the network link or the processor, whichever is scarcer', () => Math.max(sources.resourceUse().link, sources.resourceUse().processor))
+  gauge('link_use_ratio', 'used share of the network link', () => sources.resourceUse().link)
+  gauge('processor_use_ratio', 'used share of the processor', () => sources.resourceUse().processor)
   gauge('event_loop_delay_ms', 'how late the event loop is, in ms', sources.loopDelayMs)
   gauge('store_age_ms', 'time since the store last answered, in ms', sources.storeAgeMs)
   gauge('dropped_log_lines', 'log lines dropped since the last line that said so', sources.droppedLogLines)
@@ -58,6 +62,7 @@
     registry,
     requests: counter('requests_total', 'requests by service and outcome', ['service', 'outcome']),
     refusals: counter('refusals_total', 'refused or failed requests by reason', ['reason']),
+    shedConnections: counter('shed_connections_total', 'connections of callers that were closed unread, because too many waited to be accepted', []),
     attempts: counter('attempts_total', 'attempts at endpoints', ['service']),
     limitedAttempts: counter('limited_attempts_total', 'attempts at endpoints that limit the requests of all routers together', ['service']),
     retries: counter('retries_total', 'attempts after the first one of a request', ['service']),
@@ -74,7 +79,7 @@
 /** Renders the documentation page of all metrics. `otherPrograms` is the page of the other programs, to which the gateway's section is appended. */
 export async function metricsPage (otherPrograms: string): Promise<string> {
   const none = (): number => 0
-  const { registry } = createGatewayMetrics({ openRequests: none, resourceUse: none, loopDelayMs: none, storeAgeMs: none, droppedLogLines: none })
+  const { registry } = createGatewayMetrics({ openRequests: none, resourceUse: () => ({ link: 0, processor: 0 }), loopDelayMs: none, storeAgeMs: none, droppedLogLines: none })
   const metrics = await registry.getMetricsAsJSON()
   const rows = metrics.map(({ name, type, help }) => `| \`${name}\` | ${String(type)} | ${help} |`).sort()
   const intro = '## Gateway\n\nServed as text on the metrics address; the label `service` has one value for each service.'
--- a/packages/gateway/src/node/startGateway.ts
+++ b/packages/gateway/src/node/startGateway.ts
@@ -9,6 +9,7 @@
 import type { Dialect } from '../shared/dialect.ts'
 import { ElapsedClock } from '../shared/elapsedClock.ts'
 import type { FleetStore } from '../shared/store.ts'
+import { AcceptQueue } from './acceptQueue.ts'
 import { BudgetLedger } from './budgetLedger.ts'
 import { CallerServer } from './callerServer.ts'
 import { CrashTracker } from './crashTracker.ts'
@@ -81,7 +82,7 @@
   const clock = new ElapsedClock({ wallMs: () => timers.nowMs(), monotonicMs: () => performance.now() })
   const metrics = createGatewayMetrics({
     openRequests: () => state.openRequests,
-    resourceUse: () => guard.utilization,
+    resourceUse: () => guard.use,
     loopDelayMs: () => loopDelay.delayMs,
     storeAgeMs: () => store.responseAgeMs(),
     droppedLogLines: options.droppedLogLines
@@ -125,6 +126,7 @@
   const limits = new EndpointLimits({ clock, timers, log, hasher, nodeName: deployment.nodeName, routers, client: limitClient, endpoints: () => state.endpoints.all() })
   const state: GatewayState = new GatewayState({ deployment, dialect, clock, log, metrics, ledger, crashes, guard, load, rollouts, limits, hasher, random })
   const callers = new CallerServer(state)
+  const accepting = new AcceptQueue({ server: callers.server, timers, log, metrics })
   const loopDelay = new LoopDelay({ timers, log, openRequests: () => state.openRequests })
   const followers = followFleet({
     state,
@@ -144,7 +146,7 @@
     const isStarved = ledger.isStarved()
     const isDiverting = guard.isDiverting
     const isReadyNow = isLoaded && !state.isStopping && !isStarved && !isDiverting
-    if (isReadyNow !== wasReady) log.event('gatewayReady', { isReady: isReadyNow, isLoaded, isStopping: state.isStopping, isStarved, isDiverting, use: Number(guard.utilization.toFixed(2)) })
+    if (isReadyNow !== wasReady) log.event('gatewayReady', { isReady: isReadyNow, isLoaded, isStopping: state.isStopping, isStarved, isDiverting, linkUse: Number(guard.use.link.toFixed(2)), processorUse: Number(guard.use.processor.toFixed(2)) })
     wasReady = isReadyNow
     return isReadyNow
   }
@@ -203,6 +205,7 @@
       routers.stop()
       crashes.stop()
       loopDelay.stop()
+      accepting.stop()
       load.stop()
       const timedOut = new Promise<void>(resolve => { setTimeout(resolve, budgetReturnTimeoutMs) })
       await Promise.race([ledger.close(), timedOut])
@@ -216,6 +219,7 @@
       routers.stop()
       crashes.stop()
       loopDelay.stop()
+      accepting.stop()
       load.stop()
       ledger.stopTimers()
       closeListeners()
--- a/packages/policy/src/shared/overload/__tests__/overload.test.ts
+++ b/packages/policy/src/shared/overload/__tests__/overload.test.ts
@@ -112,6 +112,34 @@
     expect(guard.isDiverting).toBe(false)
   })
 
+  // Guards against a failure domain of which most routers withdraw while each of them still serves its callers: the balancer then uses all of them again, also the one that is overloaded.
+  it('withdraws one overloaded router of a failure domain, and none of those that are busy with the start of the traffic', () => {
+    const usePerRouter = [1.28, ...Array.from({ length: 13 }, (_, index) => 0.55 + 0.02 * index)]
+    const guards = usePerRouter.map(processor => {
+      const guard = new OverloadGuard()
+      for (let nowMs = 200; nowMs <= 4000; nowMs += 200) guard.update({ link: 0.1, processor }, nowMs)
+      return guard
+    })
+    expect(guards.map(guard => guard.isDiverting)).toEqual(usePerRouter.map(processor => processor > 1))
+  })
+
+  it('stays withdrawn twice as long each time that the same callers come back, up to a limit', () => {
+    const guard = new OverloadGuard()
+    const divertedMs: number[] = []
+    let nowMs = 0
+    for (let round = 0; round < 5; round++) {
+      const sinceMs = nowMs
+      guard.update({ link: 0.1, processor: 1.2 }, nowMs)
+      while (guard.isDiverting) guard.update({ link: 0.1, processor: 0.2 }, nowMs += 200)
+      divertedMs.push(nowMs - sinceMs)
+      nowMs += 2000
+    }
+    expect(divertedMs).toEqual([6000, 12_000, 24_000, 24_000, 24_000])
+    guard.update({ link: 0.1, processor: 1.2 }, nowMs += 60_000)
+    guard.update({ link: 0.1, processor: 0.2 }, nowMs += 6000)
+    expect(guard.isDiverting).toBe(false)
+  })
+
   // Guards against refusals for a burst of the processor, such as that of a large configuration, which delays requests by less than a refusal does.
   it('refuses nothing when the processor of a small VM is busy for 300 ms, and refuses by rank when it stays busy', () => {
     const guard = new OverloadGuard()
