Send nothing to endpoints of failure domains that operators evacuate

Cause: nothing read the orders.

Change: a store kind `evacuations` with a follower whose watch is as short as that of the endpoints, in deployments that have ordered `places` only. The pure decision is KnownEvacuations: no domain may be used before the orders were listed, and an order ends by a removal or by a list that cannot lack it. The directory of endpoints leaves out what may not be used, so that first attempts, retries, homes of prompts and trials all follow. A service without any other endpoint is refused as not run, with a time to come back.

--- a/packages/gateway/src/node/callRun.ts
+++ b/packages/gateway/src/node/callRun.ts
@@ -87,7 +87,7 @@
     const placement = this.#state.place(this.#input, this.#history.triedIds)
     if (placement === undefined) {
       if (this.#history.verdict !== notRun) this.#fail('backEndFailed', this.#lastDetail)
-      else this.#refuse('noEndpoint', 'no endpoint takes the request', this.#state.retryAfterMs(this.#input.service.name))
+      else this.#refuse('noEndpoint', this.#state.absenceDetail(this.#input.service.name), this.#state.retryAfterMs(this.#input.service.name))
       return
     }
     this.#send(placement)
--- a/packages/gateway/src/node/followFleet.ts
+++ b/packages/gateway/src/node/followFleet.ts
@@ -1,5 +1,5 @@
-/** Keeps the configuration and the endpoint directory of the gateway up to date with the store. */
-import type { Log, TimerService } from '@buckthorndrift/kernel'
+/** Keeps the configuration, the endpoint directory and the orders to evacuate failure domains of the gateway up to date with the store. */
+import type { Log, TimerService, Unsubscribe } from '@buckthorndrift/kernel'
 import { reregistrationWindowMs, type DirectoryChange } from '../shared/endpointDirectory.ts'
 import { RouteTable } from '../shared/routeTable.ts'
 import type { FleetStore, StoredObject } from '../shared/store.ts'
@@ -28,6 +28,8 @@
 const expiryCheckIntervalMs = 100
 /** Times after a restore of the store at which the endpoints are listed again: when live endpoints have written their entries again, and when the entries of the others have expired. */
 const relistDelaysMs: readonly number[] = [2500, 6000]
+/** Time after a restore of the store after which an order that is missing from a list was taken back, and not lost. */
+const restoreSettledMs = 6000
 
 export interface FleetFollowers {
   /** Whether the configuration and the endpoints were read at least once. */
@@ -42,6 +44,9 @@
   let contactRegainedMs = -Infinity
   /** Whether the store was restored from a copy while this router ran. */
   let isStoreRestored = false
+  /** Whether operators may still be writing orders again that the restore lost. */
+  let isRestoreRecent = false
+  let stopSettling: Unsubscribe = () => {}
 
   /** Whether the store recovered from an outage only recently. Entries may then be missing because endpoints could not renew them. */
   function isAfterOutage (): boolean {
@@ -131,12 +136,31 @@
     onContact: (isInContact, detail) => { onContactChange('crashes', isInContact, detail) }
   }
 
+  function onEvacuation (failureDomain: string, isEvacuated: boolean): void {
+    state.directory.applyEvacuations()
+    log.event('evacuationChanged', { failureDomain, isEvacuated, evacuated: state.evacuations.size })
+  }
+
+  const evacuationListener: FollowerListener = {
+    onObject: ({ name }) => { if (state.evacuations.begin(name)) onEvacuation(name, true) },
+    onRemoved: name => { if (state.evacuations.end(name)) onEvacuation(name, false) },
+    onListed: names => {
+      const wasKnown = state.evacuations.isKnown
+      for (const name of state.evacuations.applyListed(names, { mayLackOrders: isRestoreRecent })) onEvacuation(name, false)
+      if (!wasKnown) state.directory.applyEvacuations()
+    },
+    onContact: (isInContact, detail) => { onContactChange('evacuations', isInContact, detail) }
+  }
+
   const watchWaitMs = Math.max(minWatchMs, state.deployment.contactMs - silenceDetectionMs)
+  const endpointFollower = new StoreFollower({ kind: 'endpoints', store, timers, log, random, listener: endpointListener, waitMs: () => watchWaitMs, pauseMs: endpointBatchMs })
+  const evacuationFollower = new StoreFollower({ kind: 'evacuations', store, timers, log, random, listener: evacuationListener, waitMs: () => watchWaitMs, pauseMs: 0 })
   const followers = [
+    endpointFollower,
     new StoreFollower({ kind: 'configuration', store, timers, log, random, listener: configurationListener, waitMs: () => watchWaitMs, pauseMs: 0, listsAfterFailure: true }),
-    new StoreFollower({ kind: 'endpoints', store, timers, log, random, listener: endpointListener, waitMs: () => watchWaitMs, pauseMs: endpointBatchMs }),
     new StoreFollower({ kind: 'rollouts', store, timers, log, random, listener: rolloutListener, waitMs: () => state.rollouts.isRunning ? watchWaitMs : idleWatchMs, pauseMs: 0 }),
-    new StoreFollower({ kind: 'crashes', store, timers, log, random, listener: crashListener, waitMs: () => state.crashes.isInSeries ? watchWaitMs : idleWatchMs, pauseMs: crashBatchMs })
+    new StoreFollower({ kind: 'crashes', store, timers, log, random, listener: crashListener, waitMs: () => state.crashes.isInSeries ? watchWaitMs : idleWatchMs, pauseMs: crashBatchMs }),
+    ...(state.deployment.hasEvacuations ? [evacuationFollower] : [])
   ]
   for (const follower of followers) follower.start()
   // Endpoints and operators write again what the restore lost. Entries that are ignored until then show no further event if only their heartbeat changes.
@@ -144,15 +168,22 @@
     isStoreRestored = true
     contactRegainedMs = timers.monotonicMs()
     log.event('storeRestored', { era: store.era() })
-    for (const delayMs of relistDelaysMs) timers.after(delayMs, () => { followers[1]!.relist() })
+    for (const delayMs of relistDelaysMs) timers.after(delayMs, () => { endpointFollower.relist() })
+    isRestoreRecent = true
+    stopSettling()
+    stopSettling = timers.after(restoreSettledMs, () => {
+      isRestoreRecent = false
+      evacuationFollower.relist()
+    })
   })
   const stopExpiring = timers.every(expiryCheckIntervalMs, () => {
     for (const change of state.directory.removeExpired(timers.monotonicMs())) onDirectoryChange(change)
   })
   return {
-    isLoaded: () => loaded.endpoints && loaded.rollouts && loaded.crashes && state.routeTable !== undefined,
+    isLoaded: () => loaded.endpoints && state.evacuations.isKnown && loaded.rollouts && loaded.crashes && state.routeTable !== undefined,
     stop: () => {
       stopRestoreListener()
+      stopSettling()
       stopExpiring()
       for (const follower of followers) follower.stop()
     }
--- a/packages/gateway/src/node/gatewayState.ts
+++ b/packages/gateway/src/node/gatewayState.ts
@@ -1,6 +1,6 @@
 /** State that all requests of a gateway share: its view of the fleet, and the routing decisions that depend on it. */
 import type { Log } from '@buckthorndrift/kernel'
-import { canEndBeforeStop, placeCall, placeGeneration, rankByRendezvous, RecentDurations, type FailureReason, type Hasher, type OverloadGuard } from '@buckthorndrift/policy'
+import { canEndBeforeStop, KnownEvacuations, placeCall, placeGeneration, rankByRendezvous, RecentDurations, type FailureReason, type Hasher, type OverloadGuard } from '@buckthorndrift/policy'
 import { isRepeatable } from '../shared/attemptRules.ts'
 import type { Deployment } from '../shared/deployment.ts'
 import type { ResponseAttributes } from '../shared/call.ts'
@@ -85,7 +85,8 @@
   readonly metrics: GatewayMetrics
   readonly ledger: BudgetLedger
   readonly crashes: CrashTracker
-  readonly directory = new EndpointDirectory()
+  readonly evacuations: KnownEvacuations
+  readonly directory: EndpointDirectory
   readonly endpoints: TrackedEndpoints
   readonly guard: OverloadGuard
   readonly load: LoadMeter
@@ -112,6 +113,8 @@
     this.load = options.load
     this.rollouts = options.rollouts
     this.limits = options.limits
+    this.evacuations = new KnownEvacuations({ isOffered: options.deployment.hasEvacuations })
+    this.directory = new EndpointDirectory(this.evacuations)
     this.endpoints = new TrackedEndpoints(socket => { this.load.track(socket) })
     this.#hasher = options.hasher
     this.#random = options.random
@@ -168,6 +171,11 @@
     return Math.max(retryAfterMs * jitter, waitMs + retryAfterMs * (jitter - minJitter))
   }
 
+  /** Why no endpoint of a service takes a request. */
+  absenceDetail (service: string): string {
+    return this.directory.isEvacuated(service) ? 'the failure domains of all endpoints of the service are evacuated' : 'no endpoint takes the request'
+  }
+
   /** Time until the first endpoint of a service accepts requests again; 0 if one accepts them now or there is none. */
   #shortestWaitMs (service: string): number {
     const nowMs = this.clock.nowMs()
--- a/packages/gateway/src/shared/deployment.ts
+++ b/packages/gateway/src/shared/deployment.ts
@@ -31,6 +31,8 @@
   readonly trialShare: number
   /** Requests that a version under trial may receive in addition to `trialShare`. */
   readonly trialSlack: number
+  /** Whether operators order failure domains to be evacuated. */
+  readonly hasEvacuations: boolean
   /** Rate of the network link of the VM in Mbit/s; `undefined` when it is not known. */
   readonly linkMbps: number | undefined
   /** Processor share of the process in cores; `undefined` when it is not known. */
--- a/packages/gateway/src/shared/endpointDirectory.ts
+++ b/packages/gateway/src/shared/endpointDirectory.ts
@@ -1,4 +1,5 @@
 /** The registered endpoints that this router knows from the store. */
+import { KnownEvacuations } from '@buckthorndrift/policy'
 import type { EndpointEntry } from './fleet.ts'
 
 export interface DirectoryChange {
@@ -33,17 +34,33 @@
   readonly #leaving = new Map<string, string>()
   /** The newest entry of each id, also of removed endpoints. */
   readonly #newest = new Map<string, NewestEntry>()
+  readonly #evacuations: KnownEvacuations
 
-  /** Endpoints of a service that accept new requests. */
+  constructor (evacuations: KnownEvacuations = new KnownEvacuations({ isOffered: false })) {
+    this.#evacuations = evacuations
+  }
+
+  /** Endpoints of a service that accept new requests, in failure domains that may be used. */
   ready (service: string): readonly EndpointEntry[] {
     let found = this.#byService.get(service)
     if (found === undefined) {
-      found = [...this.#endpoints.values()].filter(endpoint => endpoint.service === service && !endpoint.isDraining && !this.#isLeaving(endpoint))
+      found = [...this.#endpoints.values()].filter(endpoint => endpoint.service === service && !endpoint.isDraining && !this.#isLeaving(endpoint) && this.#evacuations.mayUse(endpoint.failureDomain))
       this.#byService.set(service, found)
     }
     return found
   }
 
+  /** Whether all endpoints of a service that accept new requests are in failure domains that may not be used. */
+  isEvacuated (service: string): boolean {
+    if (this.ready(service).length > 0) return false
+    return [...this.#endpoints.values()].some(endpoint => endpoint.service === service && !endpoint.isDraining && !this.#isLeaving(endpoint))
+  }
+
+  /** Applies that other failure domains may be used than before. */
+  applyEvacuations (): void {
+    this.#byService.clear()
+  }
+
   all (): Iterable<EndpointEntry> {
     return this.#endpoints.values()
   }
--- a/packages/gateway/src/shared/store.ts
+++ b/packages/gateway/src/shared/store.ts
@@ -3,7 +3,7 @@
 import type { Result } from 'ts-results-es'
 
 /** Kinds of objects that the gateway reads or writes. */
-export type ObjectKind = 'configuration' | 'endpoints' | 'rollouts' | 'budgets' | 'holderReports' | 'leases' | 'crashes' | 'routers'
+export type ObjectKind = 'configuration' | 'endpoints' | 'rollouts' | 'budgets' | 'holderReports' | 'leases' | 'crashes' | 'routers' | 'evacuations'
 
 export interface StoredObject {
   readonly name: string
--- /dev/null
+++ b/packages/policy/src/shared/places/index.ts
@@ -0,0 +1,1 @@
+export { KnownEvacuations } from './knownEvacuations.ts'
