Count the processor as overloaded only while work waits for it

Cause: small routers refused for the processor although nothing waited for it.

Change: OverloadGuard gets the mean wait for the processor (how late a 50 ms timer runs). It diverts from 50 ms on, and refuses when three waits take up half, three quarters or all of the latency objective, by rank; in both cases the processor has to be used from 0.75 on as well. The use of the processor is averaged over 1 s instead of 1.5 s.

--- a/packages/gateway/src/node/callerServer.ts
+++ b/packages/gateway/src/node/callerServer.ts
@@ -128,7 +128,7 @@
       this.#sendRefusal(request, response, { verdict: notRun, reason: 'noEndpoint', detail: 'the route has no service', retryAfterMs: this.#state.retryAfterMs() })
       return
     }
-    if (!this.#state.guard.admits(route.priority)) {
+    if (!this.#state.guard.admits(route.priority, route.objectiveMs)) {
       this.#sendRefusal(request, response, { verdict: notRun, reason: 'overloaded', detail: 'the VM of this router is near its limits', retryAfterMs: retryElsewhereMs })
       return
     }
--- a/packages/gateway/src/node/gatewayMetrics.ts
+++ b/packages/gateway/src/node/gatewayMetrics.ts
@@ -1,4 +1,5 @@
 /** Prometheus metrics of the gateway. */
+import type { ResourceUse } from '@buckthorndrift/policy'
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
 
 const prefix = 'buckthorndrift_'
@@ -24,8 +25,7 @@
 /** Functions that supply the gauge values when the metrics are read. */
 export interface GaugeSources {
   openRequests (): number
-  /** Used share of the network link or the processor, whichever is higher. */
-  resourceUse (): number
+  resourceUse (): ResourceUse
   loopDelayMs (): number
   /** Time since the last response of the store. */
   storeAgeMs (): number
@@ -49,7 +49,10 @@
   }
 
   gauge('open_requests', 'requests that are being answered', sources.openRequests)
-  gauge('resource_use_ratio', 'used share of the network link or the processor, whichever is scarcer', sources.resourceUse)
+  gauge('resource_use_ratio', 'used share of the network link or the processor, whichever is scarcer', () => Math.max(sources.resourceUse().link, sources.resourceUse().processor))
+  gauge('link_use_ratio', 'used share of the network link, in the direction that is used more', () => sources.resourceUse().link)
+  gauge('processor_use_ratio', 'used share of the processor', () => sources.resourceUse().processor)
+  gauge('processor_wait_ms', 'mean time for which requests wait until the processor takes them up, in ms', () => sources.resourceUse().processorWaitMs)
   gauge('event_loop_delay_ms', 'how late the event loop is, in ms', sources.loopDelayMs)
   gauge('store_age_ms', 'time since the store last answered, in ms', sources.storeAgeMs)
   gauge('dropped_log_lines', 'log lines dropped since the last line that said so', sources.droppedLogLines)
@@ -74,7 +77,7 @@
 /** Renders the documentation page of all metrics. `otherPrograms` is the page of the other programs, to which the gateway's section is appended. */
 export async function metricsPage (otherPrograms: string): Promise<string> {
   const none = (): number => 0
-  const { registry } = createGatewayMetrics({ openRequests: none, resourceUse: none, loopDelayMs: none, storeAgeMs: none, droppedLogLines: none })
+  const { registry } = createGatewayMetrics({ openRequests: none, resourceUse: () => ({ link: 0, processor: 0, processorWaitMs: 0 }), loopDelayMs: none, storeAgeMs: none, droppedLogLines: none })
   const metrics = await registry.getMetricsAsJSON()
   const rows = metrics.map(({ name, type, help }) => `| \`${name}\` | ${String(type)} | ${help} |`).sort()
   const intro = '## Gateway\n\nServed as text on the metrics address; the label `service` has one value for each service.'
--- a/packages/gateway/src/node/loadMeter.ts
+++ b/packages/gateway/src/node/loadMeter.ts
@@ -14,6 +14,8 @@
   readonly processorCores: number | undefined
   readonly timers: TimerService
   readonly guard: OverloadGuard
+  /** Mean time for which work waits for the processor. */
+  readonly processorWaitMs: () => number
 }
 
 interface LinkBytes {
@@ -37,7 +39,7 @@
   /** Starts measuring. Load before this call, such as that of the process start, is not counted. */
   start (): void {
     if (this.#stopSampling !== undefined) return
-    const { linkMbps, processorCores, timers, guard } = this.#options
+    const { linkMbps, processorCores, timers, guard, processorWaitMs } = this.#options
     const nowMs = timers.monotonicMs()
     const bytesPerMs = (linkMbps ?? Infinity) * 1e6 / bitsPerByte / msPerS
     const { readBytes, writtenBytes } = this.#linkBytes()
@@ -50,7 +52,7 @@
       readUse.addSample(bytes.readBytes, sampledMs)
       writtenUse.addSample(bytes.writtenBytes, sampledMs)
       processorUse.addSample(processorMs(), sampledMs)
-      guard.update({ link: Math.max(readUse.share, writtenUse.share), processor: processorUse.share }, sampledMs)
+      guard.update({ link: Math.max(readUse.share, writtenUse.share), processor: processorUse.share, processorWaitMs: processorWaitMs() }, sampledMs)
     })
   }
 
--- a/packages/gateway/src/node/loopDelay.ts
+++ b/packages/gateway/src/node/loopDelay.ts
@@ -1,5 +1,6 @@
 /** Measures how late the event loop runs its timers. Requests wait as long, and no other metric shows this wait. */
 import type { Log, TimerService, Unsubscribe } from '@buckthorndrift/kernel'
+import { MeanWait } from '@buckthorndrift/policy'
 
 const sampleIntervalMs = 50
 const reportIntervalMs = 1000
@@ -15,6 +16,7 @@
 export class LoopDelay {
   readonly #options: LoopDelayOptions
   readonly #stopSampling: Unsubscribe
+  readonly #mean: MeanWait
   #sampledMs: number
   #reportedMs: number
   #delayMs = 0
@@ -24,6 +26,7 @@
     this.#options = options
     this.#sampledMs = options.timers.monotonicMs()
     this.#reportedMs = this.#sampledMs
+    this.#mean = new MeanWait(this.#sampledMs)
     this.#stopSampling = options.timers.every(sampleIntervalMs, () => { this.#sample() })
   }
 
@@ -32,6 +35,11 @@
     return Math.max(this.#delayMs, this.#options.timers.monotonicMs() - this.#sampledMs - sampleIntervalMs)
   }
 
+  /** Mean delay of late. */
+  get meanMs (): number {
+    return this.#mean.waitMs
+  }
+
   stop (): void {
     this.#stopSampling()
   }
@@ -39,6 +47,7 @@
   #sample (): void {
     const nowMs = this.#options.timers.monotonicMs()
     this.#delayMs = Math.max(0, nowMs - this.#sampledMs - sampleIntervalMs)
+    this.#mean.addSample(this.#delayMs, nowMs)
     this.#longestMs = Math.max(this.#longestMs, this.#delayMs)
     this.#sampledMs = nowMs
     if (nowMs - this.#reportedMs < reportIntervalMs) return
--- a/packages/gateway/src/node/startGateway.ts
+++ b/packages/gateway/src/node/startGateway.ts
@@ -81,7 +81,7 @@
   const clock = new ElapsedClock({ wallMs: () => timers.nowMs(), monotonicMs: () => performance.now() })
   const metrics = createGatewayMetrics({
     openRequests: () => state.openRequests,
-    resourceUse: () => guard.utilization,
+    resourceUse: () => guard.use,
     loopDelayMs: () => loopDelay.delayMs,
     storeAgeMs: () => store.responseAgeMs(),
     droppedLogLines: options.droppedLogLines
@@ -100,7 +100,7 @@
   const ledger = new BudgetLedger({ store, timers, log, holder, nodeName: deployment.nodeName, random, loans, startClock: options.startClock ?? readVmClocks(), readClocks: readVmClocks })
   const crashes = new CrashTracker({ store, timers, log, random })
   const guard = new OverloadGuard()
-  const load = new LoadMeter({ linkMbps: deployment.linkMbps, processorCores: deployment.processorCores, timers, guard })
+  const load = new LoadMeter({ linkMbps: deployment.linkMbps, processorCores: deployment.processorCores, timers, guard, processorWaitMs: () => loopDelay.meanMs })
   const outcomeClient = createOutcomeClient()
   const rollouts = new Rollouts({
     store,
@@ -144,7 +144,7 @@
     const isStarved = ledger.isStarved()
     const isDiverting = guard.isDiverting
     const isReadyNow = isLoaded && !state.isStopping && !isStarved && !isDiverting
-    if (isReadyNow !== wasReady) log.event('gatewayReady', { isReady: isReadyNow, isLoaded, isStopping: state.isStopping, isStarved, isDiverting, use: Number(guard.utilization.toFixed(2)) })
+    if (isReadyNow !== wasReady) log.event('gatewayReady', { isReady: isReadyNow, isLoaded, isStopping: state.isStopping, isStarved, isDiverting, link: Number(guard.use.link.toFixed(2)), processor: Number(guard.use.processor.toFixed(2)), processorWaitMs: Math.round(guard.use.processorWaitMs) })
     wasReady = isReadyNow
     return isReadyNow
   }
--- a/packages/policy/src/shared/overload/overloadGuard.ts
+++ b/packages/policy/src/shared/overload/overloadGuard.ts
@@ -2,6 +2,10 @@
  * Admission control of a router whose VM is close to its limits. A saturated link
  * or processor delays every request, including those of callers that have
  * already left this router, so new work is sent to other routers before that point.
+ *
+ * The use of a link says how long its queue is. The use of a processor does not:
+ * its capacity is known only roughly, and a busy one may still take up every
+ * request at once. It counts only while requests are seen to wait for it.
  */
 
 /** Utilization from which callers are told to connect to other routers. */
@@ -16,31 +20,48 @@
  * loses packets, and delays also the news that a caller has left.
  */
 const processorWeight = 0.8
-/** Utilization from which requests are refused immediately, by rank; rank 0 is the most urgent. */
+/** Utilization of the link from which requests are refused immediately, by rank; rank 0 is the most urgent. */
 const refuseThresholds: readonly number[] = [0.92, 0.84, 0.76]
+/** Wait for the processor from which callers are told to connect to other routers. Connecting anew takes about as long. */
+const divertWaitMs = 50
+/** Number of times that a request waits for the processor until its response begins: when it arrives, when its caller is looked for, and when the endpoint responds. */
+const waitsPerRequest = 3
+/** Part of its latency objective that a request may wait for the processor of this router, by rank. The rest is the time of the endpoint. */
+const maxWaitParts: readonly number[] = [1, 0.75, 0.5]
 
 export interface ResourceUse {
+  /** Used share of the network link. */
   readonly link: number
+  /** Used share of the processor, as far as its capacity is known. */
   readonly processor: number
+  /** Mean time for which work waits until the processor takes it up. */
+  readonly processorWaitMs: number
 }
 
+const idle: ResourceUse = { link: 0, processor: 0, processorWaitMs: 0 }
+
 export class OverloadGuard {
-  #utilization = 0
+  #use = idle
   #isDiverting = false
   #lastAboveThresholdMs = 0
 
-  /** Updates the utilization, which is that of the scarcest resource. Both are shares of what the VM has. */
-  update ({ link, processor }: ResourceUse, nowMs: number): void {
-    this.#utilization = Math.max(link, processor * processorWeight)
-    if (this.#utilization >= divertThreshold) {
+  update (use: ResourceUse, nowMs: number): void {
+    this.#use = use
+    if (this.utilization >= divertThreshold) {
       this.#isDiverting = true
       this.#lastAboveThresholdMs = nowMs
     }
-    if (this.#utilization < returnThreshold && nowMs - this.#lastAboveThresholdMs >= minDivertMs) this.#isDiverting = false
+    if (this.utilization < returnThreshold && nowMs - this.#lastAboveThresholdMs >= minDivertMs) this.#isDiverting = false
+  }
+
+  /** What was last measured. */
+  get use (): ResourceUse {
+    return this.#use
   }
 
+  /** Utilization of the scarcest resource. */
   get utilization (): number {
-    return this.#utilization
+    return Math.max(this.#use.link, this.#processorUtilization(divertWaitMs))
   }
 
   /** Whether callers are to connect to other routers. */
@@ -48,8 +69,19 @@
     return this.#isDiverting
   }
 
-  /** Whether a request of this rank is accepted. */
-  admits (rank: number): boolean {
-    return this.#utilization < refuseThresholds[Math.min(rank, refuseThresholds.length - 1)]!
+  /** Whether a request of this rank, with this latency objective, is accepted. */
+  admits (rank: number, objectiveMs: number): boolean {
+    const maxWaitMs = objectiveMs * ofRank(maxWaitParts, rank) / waitsPerRequest
+    return this.#use.link < ofRank(refuseThresholds, rank) && this.#processorUtilization(maxWaitMs) < divertThreshold
   }
+
+  /** Utilization of the processor; 0 unless work waits for it for `minWaitMs` or longer. */
+  #processorUtilization (minWaitMs: number): number {
+    return this.#use.processorWaitMs < minWaitMs ? 0 : this.#use.processor * processorWeight
+  }
+}
+
+/** Entry of a list for the ranks from the most urgent one, of which the last one holds for all further ranks. */
+function ofRank (values: readonly number[], rank: number): number {
+  return values[Math.min(rank, values.length - 1)]!
 }
--- a/packages/policy/src/shared/overload/rateUtilization.ts
+++ b/packages/policy/src/shared/overload/rateUtilization.ts
@@ -3,7 +3,7 @@
 /** Time constant of the moving average for a link: long enough to smooth out one large body, short compared with the time until a queue becomes noticeable. */
 export const linkAveragingMs = 700
 /** Time constant for a processor. It is longer, because the processor works off a burst without loss. */
-export const processorAveragingMs = 1500
+export const processorAveragingMs = 1000
 
 export class RateUtilization {
   readonly #capacityPerMs: number
