--- a/packages/gateway/src/node/__tests__/acceptQueue.test.ts
+++ b/packages/gateway/src/node/__tests__/acceptQueue.test.ts
@@ -12,7 +12,7 @@
 type Ending = 'answered' | 'reset'
 
 describe('AcceptQueue', () => {
-  const metrics = createGatewayMetrics({ openRequests: () => 0, resourceUse: () => ({ link: 0, processor: 0 }), loopDelayMs: () => 0, storeAgeMs: () => 0, droppedLogLines: () => 0 })
+  const metrics = createGatewayMetrics({ openRequests: () => 0, resourceUse: () => ({ link: 0, processor: 0, processorWaitMs: 0 }), loopDelayMs: () => 0, storeAgeMs: () => 0, droppedLogLines: () => 0 })
   const server = createServer((_, response) => {
     const untilMs = performance.now() + busyMs
     while (performance.now() < untilMs) { /* keeps the event loop busy */ }
--- a/packages/gateway/src/node/gatewayMetrics.ts
+++ b/packages/gateway/src/node/gatewayMetrics.ts
@@ -1,6 +1,6 @@
 /** Prometheus metrics of the gateway. */
-import { Counter, Gauge, Histogram, Registry } from 'prom-client'
 import type { ResourceUse } from '@buckthorndrift/policy'
+import { Counter, Gauge, Histogram, Registry } from 'prom-client'
 
 const prefix = 'buckthorndrift_'
 const latencyBucketsMs = [5, 10, 25, 50, 100, 200, 400, 800, 1600, 3200, 6400, 15_000]
@@ -26,7 +26,6 @@
 /** Functions that supply the gauge values when the metrics are read. */
 export interface GaugeSources {
   openRequests (): number
-  /** Used shares of the network link and the processor. */
   resourceUse (): ResourceUse
   loopDelayMs (): number
   /** Time since the last response of the store. */
@@ -52,8 +51,9 @@
 
   gauge('open_requests', 'requests that are being answered', sources.openRequests)
   gauge('resource_use_ratio', 'used share of the network link or the processor, whichever is scarcer', () => Math.max(sources.resourceUse().link, sources.resourceUse().processor))
-  gauge('link_use_ratio', 'used share of the network link', () => sources.resourceUse().link)
+  gauge('link_use_ratio', 'used share of the network link, in the direction that is used more', () => sources.resourceUse().link)
   gauge('processor_use_ratio', 'used share of the processor', () => sources.resourceUse().processor)
+  gauge('processor_wait_ms', 'mean time for which requests wait until the processor takes them up, in ms', () => sources.resourceUse().processorWaitMs)
   gauge('event_loop_delay_ms', 'how late the event loop is, in ms', sources.loopDelayMs)
   gauge('store_age_ms', 'time since the store last answered, in ms', sources.storeAgeMs)
   gauge('dropped_log_lines', 'log lines dropped since the last line that said so', sources.droppedLogLines)
@@ -79,7 +79,7 @@
 /** Renders the documentation page of all metrics. `otherPrograms` is the page of the other programs, to which the gateway's section is appended. */
 export async function metricsPage (otherPrograms: string): Promise<string> {
   const none = (): number => 0
-  const { registry } = createGatewayMetrics({ openRequests: none, resourceUse: () => ({ link: 0, processor: 0 }), loopDelayMs: none, storeAgeMs: none, droppedLogLines: none })
+  const { registry } = createGatewayMetrics({ openRequests: none, resourceUse: () => ({ link: 0, processor: 0, processorWaitMs: 0 }), loopDelayMs: none, storeAgeMs: none, droppedLogLines: none })
   const metrics = await registry.getMetricsAsJSON()
   const rows = metrics.map(({ name, type, help }) => `| \`${name}\` | ${String(type)} | ${help} |`).sort()
   const intro = '## Gateway\n\nServed as text on the metrics address; the label `service` has one value for each service.'
