Borrow budget tokens through another router while the store is away

Change: such a router finds one that reaches the store and borrows from it. Numbers of loan messages are checked for each lender, and a loan counts as spent only beyond the other loans.

--- a/packages/gateway/src/node/__tests__/loanSafety.test.ts
+++ b/packages/gateway/src/node/__tests__/loanSafety.test.ts
@@ -59,16 +59,55 @@
   }
 }
 
-async function spendConcurrently (seed: number): Promise<{ readonly spentTokens: number, readonly lentRequests: number }> {
+/** The store as a router sees it that is cut off now and then. */
+function cutOff (store: FleetStore, isCut: () => boolean): FleetStore {
+  const away = () => Promise.resolve(Err({ kind: 'unavailable', mayHaveApplied: false, detail: 'cut off' } as const))
+  return {
+    ...store,
+    read: (kind, name, options) => isCut() ? away() : store.read(kind, name, options),
+    create: (kind, name, value) => isCut() ? away() : store.create(kind, name, value),
+    replace: (kind, name, value, revision) => isCut() ? away() : store.replace(kind, name, value, revision)
+  }
+}
+
+interface Spending {
+  readonly spentTokens: number
+  readonly lentRequests: number
+  readonly peerLoans: number
+}
+
+/** `cutShare` is the part of the routers that is cut off from the store at any time, in turn. */
+async function spendConcurrently (seed: number, cutShare = 0): Promise<Spending> {
   const random = randomFrom(seed)
   const store = createStore(random)
   const ledgers = new Map<string, OrganisationLedger>()
   const client = createClient(random, ledgers)
   const timers = new FastTimers()
+  let peerLoans = 0
+  let cutTurn = 0
+  const turns = setInterval(() => { cutTurn++ }, 40)
+  const isCut = (index: number): boolean => (index + cutTurn) % routers < cutShare * routers
   for (let index = 0; index < routers; index++) {
     const address = `router-${index}:1`
     ledgers.set(address, new OrganisationLedger('firm', prepaidTokens, {
-      store, timers, log: silentLog, holder: `router-${index}.1`, nodeName: `router-${index}`, random, ...unlimitedReleases, outage: new StoreOutage(random), loans: { address, client }
+      storePeers: {
+        current: undefined,
+        recordFailure: () => {},
+        find: () => {
+          peerLoans++
+          const peer = (index + 1 + Math.floor(random() * (routers - 1))) % routers
+          return Promise.resolve({ holder: `router-${peer}.1`, address: `router-${peer}:1` })
+        }
+      },
+      store: cutOff(store, () => isCut(index)),
+      timers,
+      log: silentLog,
+      holder: `router-${index}.1`,
+      nodeName: `router-${index}`,
+      random,
+      ...unlimitedReleases,
+      outage: new StoreOutage(random),
+      loans: { address, client }
     }))
   }
   const routerLedgers = [...ledgers.values()]
@@ -88,7 +127,8 @@
       reservation.settle(consumed)
     }
   }))
-  return { spentTokens, lentRequests }
+  clearInterval(turns)
+  return { spentTokens, lentRequests, peerLoans }
 }
 
 describe('loans between routers', () => {
@@ -99,4 +139,10 @@
     expect(spentTokens).toBeGreaterThan(prepaidTokens * 0.5)
     expect(lentRequests).toBeGreaterThan(0)
   })
+
+  it.each([11, 12, 13, 14])('never overspend the budget when routers that are cut off from the store borrow through others (seed %i)', async seed => {
+    const { spentTokens, peerLoans } = await spendConcurrently(seed, 0.5)
+    expect(spentTokens).toBeLessThanOrEqual(prepaidTokens)
+    expect(peerLoans).toBeGreaterThan(0)
+  })
 })
--- a/packages/gateway/src/node/borrowing.ts
+++ b/packages/gateway/src/node/borrowing.ts
@@ -1,9 +1,11 @@
 /** Borrower side of one budget: the loans that this router has from other routers. */
+import { Ok, type Result } from 'ts-results-es'
 import type { Log } from '@buckthorndrift/kernel'
 import { needsLoan, returnableTokens, type BudgetSlice, type LenderEntry } from '@buckthorndrift/policy'
 import type { LoanReply } from '../shared/loans.ts'
 import type { Waiter } from './budgetRequest.ts'
 import type { LoanClient } from './loanClient.ts'
+import type { PeerFailure } from './peerRequest.ts'
 
 /** Delay before the next loan request to a lender that did not respond. */
 const retryDelayMs = 1000
@@ -40,6 +42,8 @@
   /** Borrowed tokens by the holder id of the lender. A loan stays valid after the process of its lender has ended. */
   readonly #loans = new Map<string, number>()
   #sequence = 0
+  /** Number of the last message to each lender, by its holder id. */
+  readonly #latestSequences = new Map<string, number>()
   #failingLender: FailingLender | undefined
   /** Idle tokens that this router should hold for future requests, according to the last reply of the lender. */
   #plannedTokens = 0
@@ -83,35 +87,52 @@
 
   /** Sends one message to the lender. It asks for the tokens of the waiting requests and of future ones, and returns idle tokens. */
   async requestLoan (lender: LenderEntry, waiters: readonly Waiter[]): Promise<LoanOutcome> {
-    const { organisation, holder, slice, client, nowMs } = this.#options
-    this.#requestedMs = nowMs()
+    this.#requestedMs = this.#options.nowMs()
     // Returned tokens must not be spent while the message is in flight.
     this.#setLoan(lender, this.#loanFrom(lender) - this.#returnableTokens(lender))
+    const result = await this.#exchange(lender, waiters, false)
+    if (result.isErr()) {
+      this.#recordFailure(lender, result.error.kind === 'gone', result.error.kind === 'gone' ? 'connection refused' : result.error.detail)
+      return { kind: 'failed' }
+    }
+    const reply = result.value
+    // The lender may have been restarted: a new process at its address does not lend in its name. The old one is recorded as ended, so that a new lender is found.
+    if (reply.kind === 'notLender') this.#recordFailure(lender, true, 'the router at this address does not lend tokens of this budget')
+    else if (reply.kind !== 'lent' || reply.isStoreAway !== true) this.#failingLender = undefined
+    if (reply.kind === 'lent') this.#applyLoan(lender, reply)
+    return reply
+  }
+
+  /** Asks a router that reaches the store for the tokens of the requests, while this router does not. It need not be the lender of the budget. */
+  async requestPeerLoan (peer: LenderEntry, waiters: readonly Waiter[]): Promise<LoanOutcome> {
+    const result = await this.#exchange(peer, waiters, true)
+    if (result.isErr()) return { kind: 'failed' }
+    if (result.value.kind === 'lent') this.#setLoan(peer, result.value.grantedTokens)
+    return result.value
+  }
+
+  /** Sends one message to a router that lends, and checks that the reply is valid. */
+  async #exchange (lender: LenderEntry, waiters: readonly Waiter[], isPeerLoan: boolean): Promise<Result<LoanReply, PeerFailure>> {
+    const { organisation, holder, slice, client, nowMs } = this.#options
     const sequence = ++this.#sequence
+    this.#latestSequences.set(lender.holder, sequence)
     const result = await client.requestLoan(lender.address, {
       organisation,
       borrower: holder,
       lender: lender.holder,
       sequence,
       grantedTokens: this.#loanFrom(lender),
-      committedTokens: Math.min(this.#loanFrom(lender), slice.committedTokens - slice.ownCommittedTokens),
+      committedTokens: this.#committedOf(lender),
       ratePerMs: slice.ratePerMs(nowMs()),
       requests: waiters.map(({ attemptId, tokens, rank }) => ({ attemptId, tokens, rank })),
-      maxWaitMs: waiters.reduce((longest, { maxWaitMs }) => Math.max(longest, maxWaitMs), 0)
+      maxWaitMs: waiters.reduce((longest, { maxWaitMs }) => Math.max(longest, maxWaitMs), 0),
+      ...(isPeerLoan ? { isPeerLoan } : {})
     })
-    // This router sent a later message while it waited. Only the response to that message is valid.
-    if (sequence !== this.#sequence) return { kind: 'overtaken' }
-    if (result.isErr()) {
-      this.#recordFailure(lender, result.error.kind === 'gone', result.error.kind === 'gone' ? 'connection refused' : result.error.detail)
-      return { kind: 'failed' }
-    }
+    // This router sent a later message to this lender while it waited. Only the response to that message is valid.
+    if (sequence !== this.#latestSequences.get(lender.holder)) return Ok({ kind: 'overtaken' })
+    if (result.isErr()) return result
     const isOtherProcess = result.value.kind === 'lent' && result.value.lender !== undefined && result.value.lender !== lender.holder
-    const reply: LoanReply = isOtherProcess ? { kind: 'notLender' } : result.value
-    // The lender may have been restarted: a new process at its address does not lend in its name. The old one is recorded as ended, so that a new lender is found.
-    if (reply.kind === 'notLender') this.#recordFailure(lender, true, 'the router at this address does not lend tokens of this budget')
-    else if (reply.kind !== 'lent' || reply.isStoreAway !== true) this.#failingLender = undefined
-    if (reply.kind === 'lent') this.#applyLoan(lender, reply)
-    return reply
+    return isOtherProcess ? Ok({ kind: 'notLender' }) : result
   }
 
   /** Uses the store in place of a lender that cannot reach it. If that lasts, another router replaces the lender. */
@@ -137,6 +158,15 @@
     return this.#loans.get(holder) ?? 0
   }
 
+  /** The part of a loan that is spent or reserved at least: what is committed beyond the other loans. */
+  #committedOf (lender: LenderEntry): number {
+    const { slice } = this.#options
+    const loan = this.#loanFrom(lender)
+    const borrowedCommitted = slice.committedTokens - slice.ownCommittedTokens
+    const otherLoans = slice.grantedTokens - slice.ownTokens - loan
+    return Math.min(loan, Math.max(0, borrowedCommitted - otherLoans))
+  }
+
   #setLoan ({ holder }: LenderEntry, tokens: number): void {
     this.#loans.set(holder, Math.max(0, tokens))
     let total = 0
--- a/packages/gateway/src/node/budgetLedger.ts
+++ b/packages/gateway/src/node/budgetLedger.ts
@@ -9,12 +9,14 @@
 import type { Organisation } from '../shared/fleet.ts'
 import { StoreOutage } from '../shared/storeOutage.ts'
 import type { LoanReply, LoanRequest } from '../shared/loans.ts'
+import type { StoreContact } from '../shared/storeContact.ts'
 import type { BudgetRequest, Reservation } from './budgetRequest.ts'
 import { ClockPeers } from './clockPeers.ts'
 import { HolderReporter } from './holderReporter.ts'
 import type { LedgerOptions } from './ledgerOptions.ts'
 import { OrganisationLedger } from './organisationLedger.ts'
 import { Predecessors } from './predecessors.ts'
+import { askStoreContact, StorePeers } from './storePeers.ts'
 
 /** Interval at which ledgers without a waiting request are updated. */
 const updateIntervalMs = 250
@@ -27,7 +29,9 @@
 /** `isStarved` is true when at least one in this number of slices is nearly spent and cannot be refilled. */
 const starvedSliceDivisor = 3
 
-export interface BudgetLedgerOptions extends Omit<LedgerOptions, 'outage' | 'reporter' | 'predecessors'> {
+export interface BudgetLedgerOptions extends Omit<LedgerOptions, 'outage' | 'reporter' | 'predecessors' | 'storePeers'> {
+  /** Addresses at which the other routers of the fleet lend. */
+  peerAddresses (): readonly string[]
   /** Clocks of the VM at the start of this process. */
   readonly startClock: ClockReading
   readClocks (): ClockReading
@@ -53,7 +57,8 @@
     const loans = options.loans === undefined ? undefined : { ...options.loans, client: this.#clockPeers!.stamp(options.loans.client) }
     this.#reporter = new HolderReporter({ store, timers, log, nodeName, holder, outage, readClocks: options.readClocks, routerCount: () => this.routerCount(), peers: () => this.#clockPeers?.recent() ?? {}, lines: () => this.#releaseLines() })
     this.#predecessors = new Predecessors({ store, timers, log, nodeName, holder, startClock, wallMs, onLoaded: revision => { void this.#closePredecessors(revision) } })
-    this.#options = { ...options, loans, outage, reporter: this.#reporter, predecessors: this.#predecessors }
+    const storePeers = loans === undefined ? undefined : new StorePeers({ timers, random: options.random, addresses: () => options.peerAddresses(), ask: askStoreContact })
+    this.#options = { ...options, loans, storePeers, outage, reporter: this.#reporter, predecessors: this.#predecessors }
     this.#stopUpdates = options.timers.every(updateIntervalMs, () => {
       for (const ledger of this.#ledgers.values()) ledger.update()
     })
@@ -83,10 +88,17 @@
   async lend (request: LoanRequest): Promise<LoanReply> {
     this.#clockPeers?.recordBorrower(request.borrower, request.address, request.wallMs)
     if (request.lender !== undefined && request.lender !== this.#options.holder) return { kind: 'notLender' }
-    const reply = await this.#ledgers.get(request.organisation)?.lend(request) ?? { kind: 'notLender' }
+    const mayStart = request.isPeerLoan === true && this.#prepaid.has(request.organisation)
+    const ledger = mayStart ? this.#ledgerOf(request.organisation) : this.#ledgers.get(request.organisation)
+    const reply = await ledger?.lend(request) ?? { kind: 'notLender' }
     return reply.kind === 'lent' ? { ...reply, lender: this.#options.holder, wallMs: this.#options.timers.nowMs() } : reply
   }
 
+  /** What other routers need to know before they ask this one for tokens while they do not reach the store. */
+  storeContact (): StoreContact {
+    return { holder: this.#options.holder, isStoreAway: this.#isStopped || this.#options.outage.sinceMs !== undefined }
+  }
+
   /** Number of routers in the fleet, estimated from the ledgers. */
   routerCount (): number {
     let count = 0
--- a/packages/gateway/src/node/budgetRequest.ts
+++ b/packages/gateway/src/node/budgetRequest.ts
@@ -1,4 +1,5 @@
 /** A request for tokens of a budget, and its result. */
+import type { BudgetSlice } from '@buckthorndrift/policy'
 
 export type Reservation =
   | { readonly kind: 'reserved', settle (consumedTokens: number): void }
@@ -25,3 +26,16 @@
   readonly deadlineMs: number
   readonly resolve: (reservation: Reservation) => void
 }
+
+/** The result of a request whose tokens were reserved from the slice. */
+export function reservationOf (slice: BudgetSlice, tokens: number): Reservation {
+  let isSettled = false
+  return {
+    kind: 'reserved',
+    settle: consumedTokens => {
+      if (isSettled) return
+      isSettled = true
+      slice.settle(tokens, consumedTokens)
+    }
+  }
+}
--- a/packages/gateway/src/node/grantRelease.ts
+++ b/packages/gateway/src/node/grantRelease.ts
@@ -35,6 +35,12 @@
     return Math.max(0, reporter.releaseDelayMs(organisation, slice.minOwnCommittedTokens + wantedTokens)) + timerMarginMs
   }
 
+  /** Whether the line covers the request before it has to be refused. */
+  isReleasedInTime ({ tokens, maxWaitMs }: Waiter): boolean {
+    const delayMs = this.delayMs(tokens)
+    return delayMs !== undefined && delayMs <= maxWaitMs
+  }
+
   /** Serves the request when the line covers it, or refuses it at once if that takes too long. */
   serveWhenReleased (waiter: Waiter): void {
     const { timers, tryReserve, refuse } = this.#options
--- a/packages/gateway/src/node/ledgerOptions.ts
+++ b/packages/gateway/src/node/ledgerOptions.ts
@@ -5,6 +5,7 @@
 import type { HolderReporter } from './holderReporter.ts'
 import type { LoanClient } from './loanClient.ts'
 import type { Predecessors } from './predecessors.ts'
+import type { StorePeers } from './storePeers.ts'
 
 export interface LedgerOptions {
   readonly store: FleetStore
@@ -18,6 +19,8 @@
   readonly predecessors: Pick<Predecessors, 'close'>
   /** Circuit breaker for the store, shared by all ledgers of the process. */
   readonly outage: StoreOutage
+  /** Finds routers that lend to this one while it does not reach the store. If `undefined`, none is asked. */
+  readonly storePeers?: Pick<StorePeers, 'current' | 'find' | 'recordFailure'> | undefined
   /** Address at which this router accepts loan requests, and the client for its own loan requests. If `undefined`, this router borrows no tokens and writes the ledgers itself. */
   readonly loans: { readonly address: string, readonly client: LoanClient } | undefined
 }
--- a/packages/gateway/src/node/lending.ts
+++ b/packages/gateway/src/node/lending.ts
@@ -44,7 +44,7 @@
     // The size of the lender's slice depends on its spending rate, which therefore includes the spending of the borrowers.
     if (spentTokens > 0) slice.recordSpending(spentTokens, nowMs())
     // Existing loans stay valid, but a router that is no longer the lender grants no new ones.
-    if (!isLender() && request.requests.length > 0) return { kind: 'notLender' }
+    if (!isLender() && request.isPeerLoan !== true && request.requests.length > 0) return { kind: 'notLender' }
     const verdicts = await Promise.all(request.requests.map(each => this.#lendFor(request, each)))
     const plannedTokens = isLender() ? plannedIdleTokens(this.#options.unassignedShare(), ratePerMs) : 0
     this.#prefetch(request, plannedTokens)
--- a/packages/gateway/src/node/organisationLedger.ts
+++ b/packages/gateway/src/node/organisationLedger.ts
@@ -6,12 +6,15 @@
 import type { LoanReply, LoanRequest, LoanVerdict } from '../shared/loans.ts'
 import { Borrowing } from './borrowing.ts'
 import { refuseWaiter } from './budgetRefusal.ts'
-import type { BudgetRequest, Reservation, Waiter } from './budgetRequest.ts'
+import { reservationOf, type BudgetRequest, type Reservation, type Waiter } from './budgetRequest.ts'
+import { ConflictBackoff } from './conflictBackoff.ts'
+import { grantInputOf } from './grantInput.ts'
 import { GrantRelease } from './grantRelease.ts'
 import { GrantWriter } from './grantWriter.ts'
 import { LedgerObject } from './ledgerObject.ts'
 import type { LedgerOptions } from './ledgerOptions.ts'
 import { Lending } from './lending.ts'
+import { PeerLoans } from './peerLoans.ts'
 import { WaitingRequests } from './waitingRequests.ts'
 
 /** Maximum number of calls to the store or the lender in one update. Requests that still wait after them are refused. */
@@ -20,9 +23,6 @@
 const maxCloseRounds = 4
 /** Failed calls to the store after which all waiting requests are refused. */
 const maxFailures = 2
-/** First backoff after a conflict or a failed call; doubled each time. */
-const initialConflictBackoffMs = 3
-const maxConflictBackoffMs = 50
 /** Age up to which the known ledger is used without another read when a request does not fit into the free tokens. */
 const freshForMs = 400
 /** Age of the known ledger after which a router with idle tokens reads it again, to see whether other routers need them. */
@@ -42,6 +42,7 @@
   readonly #release: GrantRelease
   readonly #writer: GrantWriter
   readonly #borrowing: Borrowing | undefined
+  readonly #peerLoans: PeerLoans | undefined
   readonly #waiting = new WaitingRequests()
   #isUpdating = false
   #isClosing = false
@@ -53,10 +54,9 @@
     this.#slice = new BudgetSlice(this.#nowMs(), () => options.reporter.releaseLimit(organisation))
     this.ledgerObject = new LedgerObject({ organisation, store: options.store, timers: options.timers, log: options.log, onUpdate: () => { this.#applyGrant() } })
     this.#release = new GrantRelease({
+      ...options,
       organisation,
       slice: this.#slice,
-      reporter: options.reporter,
-      timers: options.timers,
       tryReserve: request => this.#tryReserve(request),
       refuse: waiter => { this.#refuse(waiter, 'unavailable') }
     })
@@ -70,16 +70,17 @@
     })
     this.#writer = new GrantWriter({
       organisation,
-      holder: options.holder,
-      log: options.log,
+      ...options,
       slice: this.#slice,
       ledgerObject: this.ledgerObject,
-      predecessors: options.predecessors,
       lentIdleTokens: () => this.#lending.idleTokens,
       nextLender: current => this.#borrowing === undefined ? current : this.#borrowing.nextLender(current, this.#isClosing),
       isNearlyExhausted: () => isNearlyExhausted(this.#grantInput())
     })
-    if (options.loans !== undefined) this.#borrowing = new Borrowing({ ...options.loans, organisation, holder: options.holder, slice: this.#slice, log: options.log, nowMs: () => this.#nowMs() })
+    if (options.loans === undefined) return
+    this.#borrowing = new Borrowing({ ...options.loans, organisation, holder: options.holder, slice: this.#slice, log: options.log, nowMs: () => this.#nowMs() })
+    if (options.storePeers === undefined) return
+    this.#peerLoans = new PeerLoans({ borrowing: this.#borrowing, peers: options.storePeers, nowMs: () => this.#nowMs(), serve: waiter => this.#serveLent(waiter), refuse: waiter => { this.#refuse(waiter, 'unavailable') } })
   }
 
   /** Number of routers that spend from the budget, including this one. */
@@ -89,7 +90,7 @@
 
   /** Whether the slice is nearly spent and cannot grow, because the store is unavailable and no lender can be asked. */
   get isStarved (): boolean {
-    return this.#isOutage && this.#slice.isNearlySpent && this.#lender() === undefined
+    return this.#isOutage && this.#slice.isNearlySpent && this.#lender() === undefined && this.#options.storePeers?.current === undefined
   }
 
   setPrepaid (tokens: number): void {
@@ -105,7 +106,7 @@
       const waiter = { ...request, deadlineMs: this.#nowMs() + request.maxWaitMs, resolve }
       // During an outage the store is probed at intervals anyway, so waiting for it would only delay the refusal.
       if (this.#isOutage && this.#lender() === undefined) {
-        this.#release.serveWhenReleased(waiter)
+        this.#serveInOutage(waiter)
         return
       }
       this.#waiting.add(waiter)
@@ -114,6 +115,18 @@
     })
   }
 
+  /** Serves a request without the store: from the slice once the release line covers it, or through another router. */
+  #serveInOutage (waiter: Waiter): void {
+    if (this.#release.isReleasedInTime(waiter) || !this.#requestPeerLoan(waiter)) this.#release.serveWhenReleased(waiter)
+  }
+
+  /** A loan of this router is not passed on to a third one. */
+  #requestPeerLoan (waiter: Waiter): boolean {
+    if (this.#peerLoans === undefined || waiter.isLoan === true) return false
+    this.#peerLoans.request(waiter)
+    return true
+  }
+
   /** Whether the slice covers a waiting request, but another report has to release the tokens. */
   get #isReleaseDue (): boolean {
     const { idleTokens, availableTokens } = this.#slice
@@ -154,21 +167,13 @@
     const isRankChecked = rank > 0 && !this.#isOutage && this.#lender() === undefined
     if (isRankChecked && !leavesForUrgent(this.#prepaidTokens, sumOtherHolders(this.ledgerObject.ledger, this.#options.holder).grantedTokens + slice.ownCommittedTokens + tokens, rank)) return undefined
     if (!slice.tryReserve(tokens, this.#isOutage ? rank : 0, isLoan === true ? undefined : this.#nowMs())) return undefined
-    let isSettled = false
-    return {
-      kind: 'reserved',
-      settle: consumedTokens => {
-        if (isSettled) return
-        isSettled = true
-        slice.settle(tokens, consumedTokens)
-      }
-    }
+    return reservationOf(slice, tokens)
   }
 
   /** Calls the store or the lender until the waiting requests are served or refused and the slice needs no change. */
   async #reconcile (): Promise<void> {
     const grantedBefore = this.#slice.grantedTokens
-    let backoffMs = initialConflictBackoffMs
+    const backoff = new ConflictBackoff(this.#options)
     let calls = 0
     let failures = 0
     for (let round = 0; round < maxRounds; round++) {
@@ -181,6 +186,7 @@
         }
         if (!this.#holdsIdleGrant && !this.ledgerObject.needsRepair) break
       }
+      if (lender === undefined && this.#isOutage && this.#peerLoans !== undefined) for (const waiter of this.#waiting.takeAll()) this.#serveInOutage(waiter)
       if (lender === undefined && this.#isReleaseDue && await this.#options.reporter.report()) continue
       const failure = lender === undefined || this.ledgerObject.needsRepair ? await this.#callStore() : await this.#returnGrant()
       if (failure === 'settled') break
@@ -194,9 +200,7 @@
         if (++failures >= maxFailures) for (const waiter of this.#waiting.takeAll()) this.#refuse(waiter, failure.kind)
         if (this.#waiting.length === 0) return
       }
-      const pauseMs = backoffMs * (0.5 + this.#options.random())
-      await new Promise<void>(resolve => { this.#options.timers.after(pauseMs, resolve) })
-      backoffMs = Math.min(maxConflictBackoffMs, backoffMs * 2)
+      await backoff.pause()
     }
     this.#serveWaiters()
     if (this.#slice.grantedTokens !== grantedBefore) this.#writer.logChange(grantedBefore, unassignedTokens(this.#grantInput()), calls)
@@ -241,18 +245,7 @@
   }
 
   #grantInput (): GrantInput {
-    const others = sumOtherHolders(this.ledgerObject.ledger, this.#options.holder)
-    const committedTokens = this.#slice.ownCommittedTokens
-    return {
-      prepaidTokens: this.#prepaidTokens,
-      othersGrantedTokens: others.grantedTokens,
-      holderCount: countRouters(this.ledgerObject.ledger, this.#options.holder),
-      isLender: this.#isLender,
-      committedTokens,
-      grantedTokens: committedTokens + this.#slice.idleTokens,
-      ratePerMs: this.#slice.ratePerMs(this.#nowMs()),
-      waitingTokens: this.#waiting.fittingTokens(this.#prepaidTokens - others.grantedTokens - committedTokens, this.#prepaidTokens)
-    }
+    return grantInputOf({ prepaidTokens: this.#prepaidTokens, ledger: this.ledgerObject.ledger, holder: this.#options.holder, slice: this.#slice, isLender: this.#isLender, waiting: this.#waiting, nowMs: this.#nowMs() })
   }
 
   get #isLender (): boolean {
@@ -286,7 +279,8 @@
     if (reply.kind === 'lent') {
       const mustPass = reply.isStoreAway === true && !this.#isOutage && reply.verdicts.some(({ kind }) => kind !== 'reserved')
       if (mustPass) this.#borrowing!.passOver(lender)
-      waiters.forEach((waiter, index) => { this.#applyVerdict(waiter, reply.verdicts[index], mustPass) })
+      const isAwayForBoth = reply.isStoreAway === true && this.#isOutage
+      waiters.forEach((waiter, index) => { this.#applyVerdict(waiter, reply.verdicts[index], mustPass, isAwayForBoth) })
       return
     }
     this.#waiting.putBack(waiters)
@@ -295,12 +289,18 @@
   }
 
   /** If `mustPass`, a request that the lender refuses waits for the store, which this router reaches and the lender does not. */
-  #applyVerdict (waiter: Waiter, verdict: LoanVerdict | undefined, mustPass: boolean): void {
-    // The lender has already checked the rank, so the tokens are reserved as for the most urgent rank.
-    const reservation = verdict?.kind === 'reserved' ? this.#tryReserve({ ...waiter, rank: 0 }) : undefined
-    if (reservation !== undefined) waiter.resolve(reservation)
-    else if (verdict === undefined || verdict.kind === 'reserved' || mustPass) this.#waiting.add(waiter)
-    else waiter.resolve(verdict)
+  #applyVerdict (waiter: Waiter, verdict: LoanVerdict | undefined, mustPass: boolean, isAwayForBoth: boolean): void {
+    if (verdict?.kind === 'reserved' && this.#serveLent(waiter)) return
+    if (verdict === undefined || verdict.kind === 'reserved' || mustPass) this.#waiting.add(waiter)
+    else if (!isAwayForBoth || !this.#requestPeerLoan(waiter)) waiter.resolve(verdict)
+  }
+
+  /** Serves a request whose tokens were lent. The lender has already checked the rank, so they are reserved as for the most urgent rank. */
+  #serveLent (waiter: Waiter): boolean {
+    const reservation = this.#tryReserve({ ...waiter, rank: 0 })
+    if (reservation === undefined) return false
+    waiter.resolve(reservation)
+    return true
   }
 
   /** Stores which tokens of earlier processes of this VM are free again. Returns whether nothing is left to store. */
--- a/packages/gateway/src/node/peerServer.ts
+++ b/packages/gateway/src/node/peerServer.ts
@@ -3,11 +3,13 @@
 import type * as z from 'zod/mini'
 import { limitMessageSchema, type LimitMessage, type LimitReply } from '../shared/limitMessages.ts'
 import { loanRequestSchema, type LoanReply, type LoanRequest } from '../shared/loans.ts'
+import type { StoreContact } from '../shared/storeContact.ts'
 import { outcomeReportSchema, type OutcomeReportMessage, type ReportReply } from '../shared/outcomes.ts'
 import { clockPath, type ClockAnswer } from './clockPeers.ts'
 import { limitsPath } from './limitClient.ts'
 import { loansPath } from './loanClient.ts'
 import { outcomesPath } from './outcomeClient.ts'
+import { storeContactPath } from './storePeers.ts'
 import { readBody } from './readBody.ts'
 
 const maxBodyBytes = 256 * 1024
@@ -15,6 +17,8 @@
 export interface PeerServerOptions {
   lend (request: LoanRequest): Promise<LoanReply>
   readClock (): ClockAnswer
+  /** Tells another router whether this one reaches the store. */
+  storeContact (): StoreContact
   /** Takes a report of outcomes. */
   receiveOutcomes (report: OutcomeReportMessage): ReportReply
   /** Takes what another router knows of a limit. Returns `undefined` if the endpoint is not known here. */
@@ -29,7 +33,7 @@
   }
 }
 
-function sendJson (response: ServerResponse, body: LoanReply | ClockAnswer | LimitReply | ReportReply): void {
+function sendJson (response: ServerResponse, body: LoanReply | ClockAnswer | StoreContact | LimitReply | ReportReply): void {
   const source = JSON.stringify(body)
   response.writeHead(200, { 'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(source) }).end(source)
 }
@@ -38,7 +42,7 @@
   response.writeHead(status, { 'Content-Length': 0 }).end()
 }
 
-export function createPeerServer ({ lend, readClock, receiveOutcomes, receiveLimit }: PeerServerOptions): Server {
+export function createPeerServer ({ lend, readClock, storeContact, receiveOutcomes, receiveLimit }: PeerServerOptions): Server {
   async function handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
     const read = await readBody(request, maxBodyBytes)
     if (read.kind === 'aborted') return
@@ -47,6 +51,9 @@
       case clockPath:
         sendJson(response, readClock())
         return
+      case storeContactPath:
+        sendJson(response, storeContact())
+        return
       case outcomesPath: {
         const report = parse(outcomeReportSchema, body)
         if (report === undefined) sendStatus(response, 400)
--- a/packages/gateway/src/node/startGateway.ts
+++ b/packages/gateway/src/node/startGateway.ts
@@ -90,6 +90,7 @@
   const peerServer = createPeerServer({
     lend: request => ledger.lend(request),
     readClock: () => ({ node: deployment.nodeName, wallMs: timers.nowMs() }),
+    storeContact: () => ledger.storeContact(),
     receiveOutcomes: report => state.rollouts.receiveReport(report),
     receiveLimit: message => state.receiveLimit(message)
   })
@@ -97,7 +98,7 @@
   const { peers } = deployment
   const loans = peers === undefined ? undefined : { address: `${peers.host}:${await listen(peerServer, peers)}`, client: loanClient }
   const holder = `${deployment.nodeName}.${incarnation}`
-  const ledger = new BudgetLedger({ store, timers, log, holder, nodeName: deployment.nodeName, random, loans, startClock: options.startClock ?? readVmClocks(), readClocks: readVmClocks })
+  const ledger = new BudgetLedger({ store, timers, log, holder, nodeName: deployment.nodeName, random, loans, peerAddresses: () => otherAddresses(), startClock: options.startClock ?? readVmClocks(), readClocks: readVmClocks })
   const crashes = new CrashTracker({ store, timers, log, random })
   const guard = new OverloadGuard()
   const load = new LoadMeter({ linkMbps: deployment.linkMbps, processorCores: deployment.processorCores, timers, guard })
@@ -121,6 +122,9 @@
   })
   const hasher = await createHasher()
   const routers = new RouterDirectory({ store, timers, log, nodeName: deployment.nodeName, address: loans?.address, random })
+  function otherAddresses (): readonly string[] {
+    return (routers.routers ?? []).flatMap(({ id, address }) => id === deployment.nodeName || address === undefined ? [] : [address])
+  }
   const limitClient = createLimitClient()
   const limits = new EndpointLimits({ clock, timers, log, hasher, nodeName: deployment.nodeName, routers, client: limitClient, endpoints: () => state.endpoints.all() })
   const state: GatewayState = new GatewayState({ deployment, dialect, clock, log, metrics, ledger, crashes, guard, load, rollouts, limits, hasher, random })
--- a/packages/gateway/src/shared/loans.ts
+++ b/packages/gateway/src/shared/loans.ts
@@ -19,6 +19,8 @@
   ratePerMs: tokens,
   /** Requests that wait for tokens. */
   requests: z.array(z.object({ attemptId: z.string(), tokens, rank: z.int().check(z.nonnegative()) })),
+  /** Whether the borrower does not reach the store, so that the router lends although it is not the lender of the budget. */
+  isPeerLoan: z.optional(z.boolean()),
   /** Address at which the borrower accepts loan requests. */
   address: z.optional(z.string()),
   /** Wall clock of the borrower when it sent the message, in ms since the Unix epoch. */
--- a/packages/policy/src/shared/ledger/index.ts
+++ b/packages/policy/src/shared/ledger/index.ts
@@ -5,4 +5,5 @@
 export { isNearlyExhausted, leavesForUrgent, withheldTokens, needsGrantUpdate, planGrant, unassignedShare, unassignedTokens, type GrantInput } from './planGrant.ts'
 export { LoanTracker, type Loan } from './loanTracker.ts'
 export { planReleaseLine, releasedTokens, releaseDelayMs, type ReleaseInput, type ReleaseLine } from './releaseLine.ts'
+export { PeerSearch } from './peerSearch.ts'
 export { needsLoan, plannedIdleTokens, planPrefetch, returnableTokens, type PrefetchInput } from './planLoan.ts'
