Store tokens as lost when an ended process may have spent its whole grant

Cause: after a power loss of all VMs, the grant of a lender of a budget that is nearly used up stays under the ended process, because closing it frees nothing. Change: the successor moves such a grant to the ended ones if over 1 % of the budget is lost.

--- a/packages/gateway/src/node/grantWriter.ts
+++ b/packages/gateway/src/node/grantWriter.ts
@@ -1,6 +1,6 @@
 /** Writes the grant of this router to the ledger of one organisation, and closes the grants of earlier processes of its VM. */
 import type { Log } from '@buckthorndrift/kernel'
-import { sumOtherHolders, withClosedHolders, withGrant, withLender, type BudgetSlice, type Ledger, type LenderEntry } from '@buckthorndrift/policy'
+import { isClosingDue, sumOtherHolders, withClosedHolders, withGrant, withLender, type BudgetSlice, type Ledger, type LenderEntry } from '@buckthorndrift/policy'
 import type { StoreFailure } from '../shared/store.ts'
 import type { LedgerObject } from './ledgerObject.ts'
 import type { Predecessors } from './predecessors.ts'
@@ -12,6 +12,7 @@
   readonly slice: BudgetSlice
   readonly ledgerObject: LedgerObject
   readonly predecessors: Pick<Predecessors, 'close'>
+  prepaidTokens (): number
   /** Lent tokens that the borrowers have not used. */
   lentIdleTokens (): number
   /** The lender to write, given the one in the ledger. */
@@ -49,12 +50,13 @@
     log.event('budgetSliceChanged', { organisation, grantedBeforeTokens, grantedTokens, committedTokens, unassignedTokens, ledgerRevision: ledgerObject.revision ?? null, calls })
   }
 
-  /** Stores which tokens of earlier processes of this VM are free again. Returns whether nothing is left to store. */
+  /** Stores which tokens of earlier processes of this VM are free again, and which are lost. Returns whether nothing is left to store. */
   async closePredecessors (): Promise<boolean> {
-    const { holder, slice, ledgerObject } = this.#options
+    const { holder, slice, ledgerObject, prepaidTokens } = this.#options
     if (ledgerObject.revision === undefined && await ledgerObject.read() !== undefined) return false
-    const freeTokens = sumOtherHolders(ledgerObject.ledger, holder).grantedTokens - sumOtherHolders(this.#withClosedPredecessors(), holder).grantedTokens
-    return freeTokens <= 0 || await this.write(slice.ownTokens) === undefined
+    const before = sumOtherHolders(ledgerObject.ledger, holder)
+    const after = sumOtherHolders(this.#withClosedPredecessors(), holder)
+    return !isClosingDue(before, after, prepaidTokens()) || await this.write(slice.ownTokens) === undefined
   }
 
   /** The known ledger with the grants of earlier processes of this VM closed. */
--- a/packages/gateway/src/node/organisationLedger.ts
+++ b/packages/gateway/src/node/organisationLedger.ts
@@ -1,7 +1,5 @@
 /** Budget of one organisation at this router: reserves tokens from the slice of this router, and keeps the slice up to date with the ledger object in the store. */
-import {
-  BudgetSlice, isNearlyExhausted, leavesForUrgent, needsGrantUpdate, sumOtherHolders, planGrant, countRouters, unassignedShare, unassignedTokens, type GrantInput, type LenderEntry, type ReleaseLine
-} from '@buckthorndrift/policy'
+import { BudgetSlice, isNearlyExhausted, leavesForUrgent, needsGrantUpdate, sumOtherHolders, planGrant, countRouters, unassignedShare, unassignedTokens, type GrantInput, type LenderEntry, type ReleaseLine } from '@buckthorndrift/policy'
 import type { StoreFailure } from '../shared/store.ts'
 import type { LoanReply, LoanRequest, LoanVerdict } from '../shared/loans.ts'
 import { Borrowing } from './borrowing.ts'
@@ -19,7 +17,7 @@
 
 /** Maximum number of calls to the store or the lender in one update. Requests that still wait after them are refused. */
 const maxRounds = 12
-/** Maximum number of calls to the store for returning unspent tokens during shutdown. */
+/** `maxRounds` for returning unspent tokens during shutdown. */
 const maxCloseRounds = 4
 /** Failed calls to the store after which all waiting requests are refused. */
 const maxFailures = 2
@@ -73,6 +71,7 @@
       ...options,
       slice: this.#slice,
       ledgerObject: this.ledgerObject,
+      prepaidTokens: () => this.#prepaidTokens,
       lentIdleTokens: () => this.#lending.idleTokens,
       nextLender: current => this.#borrowing === undefined ? current : this.#borrowing.nextLender(current, this.#isClosing),
       isNearlyExhausted: () => isNearlyExhausted(this.#grantInput())
--- a/packages/policy/src/shared/ledger/__tests__/release.test.ts
+++ b/packages/policy/src/shared/ledger/__tests__/release.test.ts
@@ -1,6 +1,6 @@
 import fc from 'fast-check'
 import { describe, expect, it } from 'vitest'
-import { classifyRefusal, closeGrant, planReleaseLine, provenElapsedMs, releasedTokens, releaseDelayMs, witnessedElapsedMs, type EndedHolderInput, type ReleaseInput } from '../index.ts'
+import { classifyRefusal, closeGrant, isClosingDue, planReleaseLine, provenElapsedMs, releasedTokens, releaseDelayMs, witnessedElapsedMs, type EndedHolderInput, type ReleaseInput } from '../index.ts'
 
 const input: ReleaseInput = { prepaidTokens: 1_000_000, committedTokens: 200_000, ratePerMs: 20, largestRequestTokens: 5000, idleTokens: 300_000, waitingTokens: 0 }
 const line = planReleaseLine(input)
@@ -107,6 +107,14 @@
     expect(closeGrant({ ...ended, ...change })).toEqual(ended.grant)
   })
 
+  // The largest lender of a budget that is nearly used up may have spent its whole grant when all VMs lose power.
+  it('are stored as lost without freeing anything only if a part of the budget worth a write is lost', () => {
+    const totals = { grantedTokens: 970_000, committedTokens: 840_000, lostTokens: 0 }
+    expect(isClosingDue(totals, { ...totals, lostTokens: 130_000 }, 1_000_000)).toBe(true)
+    expect(isClosingDue(totals, { ...totals, lostTokens: 9000 }, 1_000_000)).toBe(false)
+    expect(isClosingDue(totals, { ...totals, grantedTokens: 969_000 }, 1_000_000)).toBe(true)
+  })
+
   // The model plays a process that spends as fast as its lines allow, loses responses to reports, and ends at any time.
   it('never frees tokens that the process has spent, under any order of reports, lost responses and ends', () => {
     const step = fc.record({ waitMs: fc.integer({ min: 0, max: 3000 }), wish: fc.integer({ min: 0, max: 200_000 }), report: fc.constantFrom('none', 'answered', 'lostBefore', 'lostAfter', 'late') })
--- a/packages/policy/src/shared/ledger/endedHolder.ts
+++ b/packages/policy/src/shared/ledger/endedHolder.ts
@@ -12,7 +12,7 @@
  * unless most VMs were set alike in the meantime. Without either proof the whole grant
  * counts as spent.
  */
-import type { Grant } from './ledgerValue.ts'
+import type { Grant, OtherHolderTotals } from './ledgerValue.ts'
 import { releasedTokens, type ReleaseLine } from './releaseLine.ts'
 
 /** Both clocks of a VM, read at the same time. */
@@ -100,3 +100,14 @@
   const grantedTokens = Math.min(grant.grantedTokens, Math.ceil(releasedTokens(line, elapsedMs)))
   return { grantedTokens, committedTokens: Math.min(grantedTokens, Math.max(grant.committedTokens, line.committedTokens)) }
 }
+
+/** Share of a budget from which lost tokens of an ended process are stored as lost. Smaller ones are not worth a write. */
+const minLostShare = 0.01
+
+/**
+ * Whether the closed grants have to be stored, given the totals of the ledger before and after. Freed tokens can be
+ * granted again. Lost ones cannot, but as long as they seem to be held by a router, callers are told to come back soon.
+ */
+export function isClosingDue (before: OtherHolderTotals, after: OtherHolderTotals, prepaidTokens: number): boolean {
+  return after.grantedTokens < before.grantedTokens || after.lostTokens - before.lostTokens > minLostShare * prepaidTokens
+}
--- a/packages/policy/src/shared/ledger/index.ts
+++ b/packages/policy/src/shared/ledger/index.ts
@@ -1,6 +1,6 @@
 export { BudgetSlice } from './budgetSlice.ts'
 export { classifyRefusal, type Refusal, type RefusalInput } from './classifyRefusal.ts'
-export { closeGrant, provenElapsedMs, witnessedElapsedMs, type ClockPeer, type ClockReading, type EndedHolderInput, type HolderReport } from './endedHolder.ts'
+export { closeGrant, isClosingDue, provenElapsedMs, witnessedElapsedMs, type ClockPeer, type ClockReading, type EndedHolderInput, type HolderReport } from './endedHolder.ts'
 export { closedHolder, emptyLedger, isSameLedger, ledgerSchema, mergeLedgers, sumOtherHolders, countRouters, withClosedHolders, withGrant, withLender, type Grant, type Ledger, type LenderEntry, type OtherHolderTotals } from './ledgerValue.ts'
 export { isNearlyExhausted, leavesForUrgent, withheldTokens, needsGrantUpdate, planGrant, unassignedShare, unassignedTokens, type GrantInput } from './planGrant.ts'
 export { LoanTracker, type Loan } from './loanTracker.ts'
