Remove the shedding of connections that wait to be accepted

So it is not what the callers of an overloaded router wait for: the queue of its network link holds their requests before the router sees them.

--- a/packages/gateway/src/node/gatewayMetrics.ts
+++ b/packages/gateway/src/node/gatewayMetrics.ts
@@ -10,7 +10,6 @@
   readonly registry: Registry
   readonly requests: Counter<'service' | 'outcome'>
   readonly refusals: Counter<'reason'>
-  readonly shedConnections: Counter
   readonly attempts: Counter<'service'>
   readonly limitedAttempts: Counter<'service'>
   readonly retries: Counter<'service'>
@@ -62,7 +61,6 @@
     registry,
     requests: counter('requests_total', 'requests by service and outcome', ['service', 'outcome']),
     refusals: counter('refusals_total', 'refused or failed requests by reason', ['reason']),
-    shedConnections: counter('shed_connections_total', 'connections of callers that were closed unread, because too many waited to be accepted', []),
     attempts: counter('attempts_total', 'attempts at endpoints', ['service']),
     limitedAttempts: counter('limited_attempts_total', 'attempts at endpoints that limit the requests of all routers together', ['service']),
     retries: counter('retries_total', 'attempts after the first one of a request', ['service']),
--- a/packages/gateway/src/node/startGateway.ts
+++ b/packages/gateway/src/node/startGateway.ts
@@ -9,7 +9,6 @@
 import type { Dialect } from '../shared/dialect.ts'
 import { ElapsedClock } from '../shared/elapsedClock.ts'
 import type { FleetStore } from '../shared/store.ts'
-import { AcceptQueue } from './acceptQueue.ts'
 import { BudgetLedger } from './budgetLedger.ts'
 import { CallerServer } from './callerServer.ts'
 import { CrashTracker } from './crashTracker.ts'
@@ -130,7 +129,6 @@
   const limits = new EndpointLimits({ clock, timers, log, hasher, nodeName: deployment.nodeName, routers, client: limitClient, endpoints: () => state.endpoints.all() })
   const state: GatewayState = new GatewayState({ deployment, dialect, clock, log, metrics, ledger, crashes, guard, load, rollouts, limits, hasher, random })
   const callers = new CallerServer(state)
-  const accepting = new AcceptQueue({ server: callers.server, timers, log, metrics })
   const loopDelay = new LoopDelay({ timers, log, openRequests: () => state.openRequests })
   const followers = followFleet({
     state,
@@ -209,7 +207,6 @@
       routers.stop()
       crashes.stop()
       loopDelay.stop()
-      accepting.stop()
       load.stop()
       const timedOut = new Promise<void>(resolve => { setTimeout(resolve, budgetReturnTimeoutMs) })
       await Promise.race([ledger.close(), timedOut])
@@ -223,7 +220,6 @@
       routers.stop()
       crashes.stop()
       loopDelay.stop()
-      accepting.stop()
       load.stop()
       ledger.stopTimers()
       closeListeners()
--- a/packages/kernel/src/shared/events/gatewayEvents.ts
+++ b/packages/kernel/src/shared/events/gatewayEvents.ts
@@ -43,7 +43,6 @@
   requestHandlingFailed: { number: 1843, level: 'error', message: 'the handling of a request failed with an unexpected error; its connection is closed', action: 'Report the cause: this is an error of the program.' },
   objectNotApplied: { number: 1844, level: 'error', message: 'a stored object could not be applied; the others are still followed', action: 'Check the object in the store. Report the cause: this is an error of the program.' },
   responseEndUnguarded: { number: 1845, level: 'warn', message: 'a response without a length is passed on, and the connection would not be reset if this process were killed', action: 'Check that the package koffi is installed with its binary for this processor. Until then a caller of a killed router may take such a response for complete.' },
-  connectionsShed: { number: 1846, level: 'warn', message: 'connections of callers were closed unread, because they arrived faster than this router could accept them', action: 'Callers connect to other routers. If it lasts, the VM is too small for the callers that the balancer assigns to it.' },
   eventLoopDelayed: { number: 1841, level: 'warn', message: 'the event loop was delayed', action: 'Check the load and the CPU share of the VM. During a delay, incoming requests wait up to longestMs before the process sees them.' },
   logLinesDropped: { number: 1840, level: 'warn', message: 'log lines were dropped because standard output was not read fast enough', action: 'Read standard output faster.' }
 } as const satisfies EventDefinitions
--- a/packages/policy/src/shared/overload/index.ts
+++ b/packages/policy/src/shared/overload/index.ts
@@ -1,4 +1,3 @@
 export { OverloadGuard, type ResourceUse } from './overloadGuard.ts'
 export { linkAveragingMs, processorAveragingMs, RateUtilization } from './rateUtilization.ts'
 export { MeanWait } from './meanWait.ts'
-export { StandingQueue } from './standingQueue.ts'
