Keep all routers together to the pace that a cold endpoint bears

Cause: an endpoint that has just started, or whose failure domain is taken back, looks idle to all routers at the same moment. Nothing kept their requests together below what it bears while it is cold.

Change: the entry's cold_remaining_ms (aged by ColdEndpoints) and the service's cold_per_s give a share for the first ranks of the routers, by the mechanism of named limits (EndpointLimits, coldShare). Routers that started together are listed once more after 3 s, before which none of them uses a cold endpoint. Only in deployments that order `places` and set the bounds.

--- a/packages/gateway/src/node/__tests__/endpointAttempt.test.ts
+++ b/packages/gateway/src/node/__tests__/endpointAttempt.test.ts
@@ -4,7 +4,7 @@
 import { TrackedEndpoint } from '../trackedEndpoints.ts'
 
 describe('EndpointAttempt', () => {
-  const entry = { id: 'e1', service: 'engine', address: '127.0.0.1:1', failureDomain: 'a', version: 'v1', slots: 8, isDraining: false, startedAtMs: 0, sequence: 1 }
+  const entry = { id: 'e1', service: 'engine', address: '127.0.0.1:1', failureDomain: 'a', version: 'v1', slots: 8, isDraining: false, startedAtMs: 0, sequence: 1, coldRemainingMs: 0 }
   let observations: Observation[]
   let attempt: EndpointAttempt
 
--- a/packages/gateway/src/node/__tests__/rollouts.test.ts
+++ b/packages/gateway/src/node/__tests__/rollouts.test.ts
@@ -12,7 +12,7 @@
 const otherControl: RolloutControl = { holder: 'other.1', address: 'other:1', fencingToken: 1, startedAtMs: 0 }
 
 function endpoint (id: string, version: string): EndpointEntry {
-  return { id, service: 's', address: `${id}:1`, failureDomain: 'd', version, slots: 6, isDraining: false, startedAtMs: 1, sequence: 1 }
+  return { id, service: 's', address: `${id}:1`, failureDomain: 'd', version, slots: 6, isDraining: false, startedAtMs: 1, sequence: 1, coldRemainingMs: 0 }
 }
 
 const [old, target, next] = [endpoint('a', 'v1'), endpoint('b', 'v2'), endpoint('c', 'v3')]
--- a/packages/gateway/src/node/__tests__/routerDirectory.test.ts
+++ b/packages/gateway/src/node/__tests__/routerDirectory.test.ts
@@ -43,8 +43,8 @@
     fake = new EntryStore()
   })
 
-  function directoryOf (nodeName: string): RouterDirectory {
-    return new RouterDirectory({ store: fake.store, timers, log: silentLog, nodeName, address: `${nodeName}:1`, random: () => 0.5 })
+  function directoryOf (nodeName: string, settlesSoon = false): RouterDirectory {
+    return new RouterDirectory({ store: fake.store, timers, log: silentLog, nodeName, address: `${nodeName}:1`, random: () => 0.5, settlesSoon })
   }
 
   /** Lets time pass in steps, so that calls to the store finish between them. */
@@ -55,6 +55,15 @@
     }
   }
 
+  // Guards against routers that start together, of which each knows only those that registered before it.
+  it('lists the routers once more after the start where a decision needs all of them', async () => {
+    const [first] = [directoryOf('a', true), directoryOf('b', true), directoryOf('c', true)]
+    await pass(2500)
+    expect(first.isSettled).toBe(false)
+    await pass(1500)
+    expect([first.isSettled, namesOf(first)]).toEqual([true, ['a', 'b', 'c']])
+  })
+
   function namesOf (directory: RouterDirectory): readonly string[] | undefined {
     return directory.routers?.map(({ id }) => id)
   }
--- a/packages/gateway/src/node/callRun.ts
+++ b/packages/gateway/src/node/callRun.ts
@@ -102,8 +102,7 @@
     this.#history.recordSent(endpoint.entry.id)
     this.#endpointAttempt = new EndpointAttempt(endpoint, { generation: attributes.generation, uncachedTokens, estimateMs, nowMs: this.#state.clock.nowMs(), onObservation: observation => { this.#state.rollouts.record(endpoint.entry, route.name, observation) } })
     this.#startAttemptTimer(route, estimateMs)
-    this.#state.metrics.attempts.inc({ service: service.name })
-    if (endpoint.limit.requestsPerSecond !== undefined) this.#state.metrics.limitedAttempts.inc({ service: service.name })
+    this.#state.countAttempt(endpoint, service.name)
     const request = forwardedRequest({ state: this.#state, call: this.#input, endpointId: endpoint.entry.id, remainingMs: this.#remainingMs, resumeAfter: this.#eventSplitter.resumeAfter })
     this.#exchange = new Exchange(endpoint.connections, this.#state.dialect, request, {
       onHead: head => { this.#onHead(head) },
--- a/packages/gateway/src/node/endpointLimits.ts
+++ b/packages/gateway/src/node/endpointLimits.ts
@@ -1,25 +1,34 @@
 /**
- * Limits that endpoints put on the requests of all routers together: keeps this router to
+ * Limits that endpoints put on the requests of all routers together, and those of cold
+ * endpoints: keeps this router to
  * its share of each limit, and exchanges what is known of the limits with other routers.
  */
 import type { Log, TimerService, Unsubscribe } from '@buckthorndrift/kernel'
-import { limitIntervalMs, participantCount, rankByRendezvous, ReturnTimes, type Hasher, type LimitReport, type LimitShare } from '@buckthorndrift/policy'
+import { coldShare, limitIntervalMs, participantCount, rankByRendezvous, ReturnTimes, type ColdLimit, type Hasher, type LimitReport, type LimitShare } from '@buckthorndrift/policy'
 import type { RequestLimit } from '../shared/call.ts'
 import type { ElapsedClock } from '../shared/elapsedClock.ts'
+import type { EndpointEntry } from '../shared/fleet.ts'
 import type { LimitMessage, LimitReply } from '../shared/limitMessages.ts'
 import type { LimitClient } from './limitClient.ts'
 import type { KnownRouter, RouterDirectory } from './routerDirectory.ts'
 import type { TrackedEndpoint } from './trackedEndpoints.ts'
 
+/** What an endpoint bears while it is cold. */
+export interface ColdState extends ColdLimit {
+  readonly untilMs: number
+}
+
 export interface EndpointLimitsOptions {
   readonly clock: ElapsedClock
   readonly timers: TimerService
   readonly log: Log
   readonly hasher: Hasher
   readonly nodeName: string
-  readonly routers: Pick<RouterDirectory, 'routers' | 'requestList' | 'isReachable' | 'recordUnreachable'>
+  readonly routers: Pick<RouterDirectory, 'routers' | 'isSettled' | 'requestList' | 'isReachable' | 'recordUnreachable'>
   readonly client: LimitClient
   endpoints (): Iterable<TrackedEndpoint>
+  /** `undefined` for an endpoint that is not cold. */
+  coldStateOf (entry: EndpointEntry): ColdState | undefined
 }
 
 /** Interval at which an observer asks a participant. */
@@ -48,6 +57,22 @@
 
   /** Time until this router may send the endpoint a request; 0 if it may now. */
   waitMs (endpoint: TrackedEndpoint): number {
+    return Math.max(this.#namedWaitMs(endpoint), this.#coldWaitMs(endpoint))
+  }
+
+  /** Time until a cold endpoint may get a request of this router. Routers beyond its share wait until it is warm, and so does one that does not know the others yet. */
+  #coldWaitMs (endpoint: TrackedEndpoint): number {
+    const cold = this.#options.coldStateOf(endpoint.entry)
+    if (cold === undefined) return 0
+    const leftMs = Math.max(0, cold.untilMs - this.#nowMs())
+    const ranked = this.#rank(endpoint)
+    if (ranked === undefined || !this.#options.routers.isSettled) return leftMs
+    const { participants, intervalMs } = coldShare(cold, ranked.length)
+    const isParticipant = ranked.slice(0, participants).some(({ id }) => id === this.#options.nodeName)
+    return isParticipant ? Math.min(leftMs, Math.max(0, endpoint.lastSentMs + intervalMs - this.#nowMs())) : leftMs
+  }
+
+  #namedWaitMs (endpoint: TrackedEndpoint): number {
     const { requestsPerSecond } = endpoint.limit
     if (requestsPerSecond === undefined) return 0
     const share = this.#shareOf(endpoint, requestsPerSecond)
@@ -60,7 +85,7 @@
   returnDelayMs (service: string, endpoints: readonly TrackedEndpoint[]): number | undefined {
     const firstMs = Math.min(...endpoints.map(endpoint => this.waitMs(endpoint)))
     if (endpoints.length === 0 || firstMs === 0) return undefined
-    const requestsPerSecond = endpoints.reduce((sum, { limit }) => sum + (limit.requestsPerSecond ?? 0), 0)
+    const requestsPerSecond = endpoints.reduce((sum, { limit, entry }) => sum + (limit.requestsPerSecond ?? this.#options.coldStateOf(entry)?.requestsPerSecond ?? 0), 0)
     let times = this.#returnTimes.get(service)
     if (times === undefined) this.#returnTimes.set(service, times = new ReturnTimes())
     return times.nextDelayMs({ nowMs: this.#nowMs(), firstMs, requestsPerSecond, routers: this.#options.routers.routers?.length ?? 1 })
--- a/packages/gateway/src/node/followFleet.ts
+++ b/packages/gateway/src/node/followFleet.ts
@@ -1,6 +1,7 @@
 /** Keeps the configuration, the endpoint directory and the orders to evacuate failure domains of the gateway up to date with the store. */
 import type { Log, TimerService, Unsubscribe } from '@buckthorndrift/kernel'
 import { reregistrationWindowMs, type DirectoryChange } from '../shared/endpointDirectory.ts'
+import type { EndpointEntry } from '../shared/fleet.ts'
 import { RouteTable } from '../shared/routeTable.ts'
 import type { FleetStore, StoredObject } from '../shared/store.ts'
 import type { GatewayState } from './gatewayState.ts'
@@ -80,7 +81,10 @@
     log.event('endpointChanged', { change: change.kind, endpoint: id, service, address, version })
     // A removed entry is no sign of a crash, because an endpoint that shut down is removed as well.
     if (change.kind === 'replaced') state.crashes.recordEndpointDown(change.endpoint)
-    if (change.kind === 'removed') state.endpoints.forget(id)
+    if (change.kind === 'removed') {
+      state.endpoints.forget(id)
+      state.coldEndpoints.forget(id)
+    }
   }
 
   const configurationListener: FollowerListener = {
@@ -96,6 +100,12 @@
     else onDirectoryChange(state.directory.remove(id))
   }
 
+  function recordCold (entry: EndpointEntry): void {
+    if (state.deployment.coldBound === undefined || !state.coldEndpoints.record(entry, state.clock.nowMs())) return
+    const { id, service, address, coldRemainingMs } = entry
+    log.event('endpointCold', { endpoint: id, service, address, coldMs: coldRemainingMs })
+  }
+
   const endpointListener: FollowerListener = {
     onObject: object => {
       const entry = state.dialect.decodeEndpoint(object)
@@ -104,6 +114,7 @@
         return
       }
       if (entry !== undefined) {
+        recordCold(entry)
         onDirectoryChange(state.directory.put(entry))
         return
       }
--- a/packages/gateway/src/node/gatewayMetrics.ts
+++ b/packages/gateway/src/node/gatewayMetrics.ts
@@ -11,6 +11,7 @@
   readonly refusals: Counter<'reason'>
   readonly attempts: Counter<'service'>
   readonly limitedAttempts: Counter<'service'>
+  readonly coldAttempts: Counter<'service'>
   readonly retries: Counter<'service'>
   readonly firstByteMs: Histogram<'service'>
   readonly eventGapMs: Histogram<'service'>
@@ -30,6 +31,8 @@
   /** Time since the last response of the store. */
   storeAgeMs (): number
   droppedLogLines (): number
+  /** Failure domains that operators have evacuated. */
+  evacuatedDomains (): number
 }
 
 export function createGatewayMetrics (sources: GaugeSources): GatewayMetrics {
@@ -53,6 +56,7 @@
   gauge('event_loop_delay_ms', 'how late the event loop is, in ms', sources.loopDelayMs)
   gauge('store_age_ms', 'time since the store last answered, in ms', sources.storeAgeMs)
   gauge('dropped_log_lines', 'log lines dropped since the last line that said so', sources.droppedLogLines)
+  gauge('evacuated_failure_domains', 'failure domains whose endpoints get no new requests', sources.evacuatedDomains)
   gauge('resident_memory_mb', 'resident memory in MB', () => process.memoryUsage.rss() / bytesPerMb)
   return {
     registry,
@@ -60,6 +64,7 @@
     refusals: counter('refusals_total', 'refused or failed requests by reason', ['reason']),
     attempts: counter('attempts_total', 'attempts at endpoints', ['service']),
     limitedAttempts: counter('limited_attempts_total', 'attempts at endpoints that limit the requests of all routers together', ['service']),
+    coldAttempts: counter('cold_attempts_total', 'attempts at endpoints that said they were cold', ['service']),
     retries: counter('retries_total', 'attempts after the first one of a request', ['service']),
     firstByteMs: histogram('first_byte_ms', 'time to the first byte of the answer in ms', ['service']),
     eventGapMs: histogram('event_gap_ms', 'longest pause between the events of a stream in ms', ['service']),
@@ -74,7 +79,7 @@
 /** Renders the documentation page of all metrics. `otherPrograms` is the page of the other programs, to which the gateway's section is appended. */
 export async function metricsPage (otherPrograms: string): Promise<string> {
   const none = (): number => 0
-  const { registry } = createGatewayMetrics({ openRequests: none, resourceUse: none, loopDelayMs: none, storeAgeMs: none, droppedLogLines: none })
+  const { registry } = createGatewayMetrics({ openRequests: none, resourceUse: none, loopDelayMs: none, storeAgeMs: none, droppedLogLines: none, evacuatedDomains: none })
   const metrics = await registry.getMetricsAsJSON()
   const rows = metrics.map(({ name, type, help }) => `| \`${name}\` | ${String(type)} | ${help} |`).sort()
   const intro = '## Gateway\n\nServed as text on the metrics address; the label `service` has one value for each service.'
--- a/packages/gateway/src/node/gatewayState.ts
+++ b/packages/gateway/src/node/gatewayState.ts
@@ -1,6 +1,6 @@
 /** State that all requests of a gateway share: its view of the fleet, and the routing decisions that depend on it. */
 import type { Log } from '@buckthorndrift/kernel'
-import { canEndBeforeStop, KnownEvacuations, placeCall, placeGeneration, rankByRendezvous, RecentDurations, type FailureReason, type Hasher, type OverloadGuard } from '@buckthorndrift/policy'
+import { canEndBeforeStop, ColdEndpoints, KnownEvacuations, placeCall, placeGeneration, rankByRendezvous, RecentDurations, type FailureReason, type Hasher, type OverloadGuard } from '@buckthorndrift/policy'
 import { isRepeatable } from '../shared/attemptRules.ts'
 import type { Deployment } from '../shared/deployment.ts'
 import type { ResponseAttributes } from '../shared/call.ts'
@@ -15,7 +15,7 @@
 import type { CallInput } from './callInput.ts'
 import type { CallContent, CrashTracker } from './crashTracker.ts'
 import type { EndpointAttempt } from './endpointAttempt.ts'
-import type { EndpointLimits } from './endpointLimits.ts'
+import type { ColdState, EndpointLimits } from './endpointLimits.ts'
 import { TrackedEndpoints, type TrackedEndpoint } from './trackedEndpoints.ts'
 import type { Rollouts } from './rollouts.ts'
 import type { GatewayMetrics } from './gatewayMetrics.ts'
@@ -87,6 +87,7 @@
   readonly crashes: CrashTracker
   readonly evacuations: KnownEvacuations
   readonly directory: EndpointDirectory
+  readonly coldEndpoints = new ColdEndpoints()
   readonly endpoints: TrackedEndpoints
   readonly guard: OverloadGuard
   readonly load: LoadMeter
@@ -205,10 +206,23 @@
     return this.limits.receive(this.endpoints.getOrCreate(entry, this.clock.nowMs()), message)
   }
 
+  /** What an endpoint bears while it is cold, and until when it is; `undefined` if it is not. */
+  coldStateOf ({ id, service }: EndpointEntry): ColdState | undefined {
+    const { coldBound } = this.deployment
+    const untilMs = coldBound === undefined ? -Infinity : this.coldEndpoints.untilMs(id)
+    if (coldBound === undefined || untilMs <= this.clock.nowMs()) return undefined
+    return { ...coldBound, untilMs, requestsPerSecond: this.routeTable?.service(service)?.coldRequestsPerSecond ?? 0 }
+  }
+
+  countAttempt ({ entry, limit }: TrackedEndpoint, service: string): void {
+    this.metrics.attempts.inc({ service })
+    if (limit.requestsPerSecond !== undefined) this.metrics.limitedAttempts.inc({ service })
+    if (this.coldStateOf(entry) !== undefined) this.metrics.coldAttempts.inc({ service })
+  }
+
   /** Whether an endpoint takes a request now. */
   #isAccepting (entry: EndpointEntry, nowMs: number): boolean {
-    const tracked = this.endpoints.get(entry.id)
-    if (tracked === undefined || tracked.entry.startedAtMs !== entry.startedAtMs) return true
+    const tracked = this.endpoints.getOrCreate(entry, nowMs)
     return nowMs >= tracked.pausedUntilMs && this.limits.waitMs(tracked) === 0
   }
 
--- a/packages/gateway/src/node/routerDirectory.ts
+++ b/packages/gateway/src/node/routerDirectory.ts
@@ -26,12 +26,16 @@
   readonly nodeName: string
   readonly address: string | undefined
   readonly random: () => number
+  /** Whether the routers are listed once more soon after the start, so that routers that start together know each other within seconds. */
+  readonly settlesSoon: boolean
 }
 
 const renewalIntervalMs = 60_000
 /** An entry expires after two and a half intervals without a renewal, so that one renewal may fail. */
 const expiryMs = renewalIntervalMs * 2.5
 const listIntervalMs = 10_000
+/** Time after the start after which routers that started together are listed. */
+const settleMs = 3000
 /** Shortest time between two lists that are asked for. */
 const minListIntervalMs = 1000
 const checkIntervalMs = 500
@@ -54,6 +58,7 @@
   readonly #options: RouterDirectoryOptions
   readonly #entries = new Map<string, Entry>()
   readonly #unreachableUntilMs = new Map<string, number>()
+  readonly #startedMs: number
   readonly #stopChecks: Unsubscribe
   #routers: readonly KnownRouter[] | undefined
   #listedMs = -Infinity
@@ -70,6 +75,7 @@
 
   constructor (options: RouterDirectoryOptions) {
     this.#options = options
+    this.#startedMs = options.timers.monotonicMs()
     this.#stopChecks = options.timers.every(checkIntervalMs, () => { void this.#check() })
     void this.#check()
   }
@@ -83,6 +89,11 @@
     return this.#routers
   }
 
+  /** Whether the routers were listed when those that started together with this one had time to register. */
+  get isSettled (): boolean {
+    return this.#appliedMs - this.#startedMs >= settleMs
+  }
+
   /** Lists the latest entries soon, because a decision depends on them. */
   requestList (): void {
     this.#isLatestRequired = true
@@ -110,6 +121,10 @@
     this.#isBusy = false
   }
 
+  get #mustSettle (): boolean {
+    return this.#options.settlesSoon && !this.isSettled
+  }
+
   async #renew (): Promise<void> {
     const { store, nodeName, address } = this.#options
     const entry = { ...(address === undefined ? {} : { address }), sequence: ++this.#sequence }
@@ -132,9 +147,10 @@
     const { store, nodeName, random } = this.#options
     this.#listedMs = this.#nowMs()
     this.#listDueMs = this.#listedMs + listIntervalMs * (0.75 + random() / 2)
+    if (this.#mustSettle) this.#listDueMs = Math.min(this.#listDueMs, Math.max(this.#startedMs + settleMs, this.#listedMs + minListIntervalMs))
     const result = await store.list('routers', { mayBeStale: !this.#isLatestRequired })
     if (result.isErr()) return
-    this.#isLatestRequired = false
+    this.#isLatestRequired = this.#mustSettle
     this.#apply(result.value.objects)
     // A restore of the store from a copy loses the entry.
     if (!this.#entries.has(nodeName) && this.#nowMs() - this.#renewedMs > maxStalenessMs) this.#renewalDueMs = this.#nowMs()
--- a/packages/gateway/src/node/startGateway.ts
+++ b/packages/gateway/src/node/startGateway.ts
@@ -84,7 +84,8 @@
     resourceUse: () => guard.utilization,
     loopDelayMs: () => loopDelay.delayMs,
     storeAgeMs: () => store.responseAgeMs(),
-    droppedLogLines: options.droppedLogLines
+    droppedLogLines: options.droppedLogLines,
+    evacuatedDomains: () => state.evacuations.size
   })
   const store = meteredStore(options.store, metrics)
   const peerServer = createPeerServer({
@@ -120,9 +121,9 @@
     hasEndpoint: (service, version) => state.directory.ready(service).some(endpoint => endpoint.version === version)
   })
   const hasher = await createHasher()
-  const routers = new RouterDirectory({ store, timers, log, nodeName: deployment.nodeName, address: loans?.address, random })
+  const routers = new RouterDirectory({ store, timers, log, nodeName: deployment.nodeName, address: loans?.address, random, settlesSoon: deployment.coldBound !== undefined })
   const limitClient = createLimitClient()
-  const limits = new EndpointLimits({ clock, timers, log, hasher, nodeName: deployment.nodeName, routers, client: limitClient, endpoints: () => state.endpoints.all() })
+  const limits = new EndpointLimits({ clock, timers, log, hasher, nodeName: deployment.nodeName, routers, client: limitClient, endpoints: () => state.endpoints.all(), coldStateOf: entry => state.coldStateOf(entry) })
   const state: GatewayState = new GatewayState({ deployment, dialect, clock, log, metrics, ledger, crashes, guard, load, rollouts, limits, hasher, random })
   const callers = new CallerServer(state)
   const loopDelay = new LoopDelay({ timers, log, openRequests: () => state.openRequests })
--- a/packages/gateway/src/shared/__tests__/shared.test.ts
+++ b/packages/gateway/src/shared/__tests__/shared.test.ts
@@ -115,7 +115,7 @@
 })
 
 describe('EndpointDirectory', () => {
-  const entry: EndpointEntry = { id: 'e1', service: 's', address: '127.0.0.1:1', failureDomain: 'd', version: 'v1', slots: 1, isDraining: false, startedAtMs: 5, sequence: 1 }
+  const entry: EndpointEntry = { id: 'e1', service: 's', address: '127.0.0.1:1', failureDomain: 'd', version: 'v1', slots: 1, isDraining: false, startedAtMs: 5, sequence: 1, coldRemainingMs: 0 }
 
   it('does not offer a draining endpoint for new requests', () => {
     const directory = new EndpointDirectory()
--- a/packages/gateway/src/shared/__tests__/versionGate.test.ts
+++ b/packages/gateway/src/shared/__tests__/versionGate.test.ts
@@ -3,7 +3,7 @@
 import { VersionGate, type GatedRollout, type VersionGateInput } from '../versionGate.ts'
 
 function endpoint (id: string, version: string): EndpointEntry {
-  return { id, service: 's', address: `${id}:1`, failureDomain: 'd', version, slots: 1, isDraining: false, startedAtMs: 1, sequence: 1 }
+  return { id, service: 's', address: `${id}:1`, failureDomain: 'd', version, slots: 1, isDraining: false, startedAtMs: 1, sequence: 1, coldRemainingMs: 0 }
 }
 
 const [old, other, target] = [endpoint('a', 'v1'), endpoint('b', 'v1'), endpoint('c', 'v2')]
--- a/packages/gateway/src/shared/deployment.ts
+++ b/packages/gateway/src/shared/deployment.ts
@@ -33,6 +33,8 @@
   readonly trialSlack: number
   /** Whether operators order failure domains to be evacuated. */
   readonly hasEvacuations: boolean
+  /** Requests that a cold endpoint may get in one second: `overrun` times the pace that its service names, and `slack`. `undefined` in a deployment without such a bound. */
+  readonly coldBound: { readonly overrun: number, readonly slack: number } | undefined
   /** Rate of the network link of the VM in Mbit/s; `undefined` when it is not known. */
   readonly linkMbps: number | undefined
   /** Processor share of the process in cores; `undefined` when it is not known. */
--- a/packages/gateway/src/shared/fleet.ts
+++ b/packages/gateway/src/shared/fleet.ts
@@ -42,6 +42,8 @@
 export interface Service {
   readonly name: string
   readonly engine: EngineProfile | undefined
+  /** Pace of requests from all routers together that an endpoint bears while it is cold. */
+  readonly coldRequestsPerSecond: number
 }
 
 export interface Organisation {
@@ -83,6 +85,8 @@
   readonly startedAtMs: number | undefined
   /** Number of heartbeats of this incarnation when it wrote the entry. */
   readonly sequence: number
+  /** How much longer the endpoint stays slow, in ms, when it wrote the entry; 0 if it is not. */
+  readonly coldRemainingMs: number
 }
 
 /** The router that controls a rollout. */
--- a/packages/kernel/src/shared/events/gatewayEvents.ts
+++ b/packages/kernel/src/shared/events/gatewayEvents.ts
@@ -19,6 +19,7 @@
   endpointLimitChanged: { number: 1819, level: 'info', message: 'an endpoint named a limit for the requests of all routers together, changed it, or takes any number again', action: 'With a low limit on many endpoints, the service lacks capacity.' },
   limitExchangeFailed: { number: 1826, level: 'info', message: 'another router did not tell whether the limit of an endpoint still holds; the next one is asked', action: 'If it goes on, check the network between the routers.' },
   evacuationChanged: { number: 1827, level: 'info', message: 'an operator ordered a failure domain to be evacuated, or took the order back', action: 'While it is evacuated its endpoints get no new requests. Check that the other failure domains have room for them.' },
+  endpointCold: { number: 1828, level: 'info', message: 'an endpoint says that it is slow for a while; until then all routers together send it few requests', action: 'none' },
   storeContactLost: { number: 1815, level: 'warn', message: 'the store does not respond', action: 'Check the store and the network. The last known state stays in use.' },
   storeContactRegained: { number: 1816, level: 'info', message: 'the store responds again', action: 'none' },
   storeRestored: { number: 1818, level: 'warn', message: 'the store was restored from an older copy; this router stores its own state again', action: 'Write changes of the lost time again, if operators made any.' },
--- a/packages/policy/src/shared/places/index.ts
+++ b/packages/policy/src/shared/places/index.ts
@@ -1,1 +1,2 @@
+export { ColdEndpoints, type ColdReport } from './coldEndpoints.ts'
 export { KnownEvacuations } from './knownEvacuations.ts'
