--- a/packages/gateway/src/node/__tests__/gatewayMetrics.test.ts
+++ b/packages/gateway/src/node/__tests__/gatewayMetrics.test.ts
@@ -3,12 +3,9 @@
 import { Err, Ok } from 'ts-results-es'
 import { describe, expect, it } from 'vitest'
 import type { FleetStore } from '../../shared/store.ts'
-import { createGatewayMetrics, metricsPage, type GaugeSources } from '../gatewayMetrics.ts'
+import { createGatewayMetrics, metricsPage, zeroSources } from '../gatewayMetrics.ts'
 import { meteredStore } from '../meteredStore.ts'
 
-const zero = (): number => 0
-const zeroSources: GaugeSources = { openRequests: zero, resourceUse: () => ({ link: 0, processor: 0, processorWaitMs: 0 }), loopDelayMs: zero, storeAgeMs: zero, droppedLogLines: zero }
-
 describe('createGatewayMetrics', () => {
   it('reads the number of open requests when the metrics are served', async () => {
     let open = 2
