Let borrowers return idle tokens before a budget is used up

Change: the lender's reply names the time after which a borrower with idle tokens states them again.

--- a/packages/gateway/src/node/__tests__/borrowing.test.ts
+++ b/packages/gateway/src/node/__tests__/borrowing.test.ts
@@ -13,9 +13,9 @@
   return Ok({ kind: 'lent', grantedTokens, plannedTokens: 0, verdicts: [], lender: by, routers: 2 })
 }
 
-function createBorrowing (client: LoanClient): { readonly borrowing: Borrowing, readonly slice: BudgetSlice } {
+function createBorrowing (client: LoanClient, nowMs = () => 0): { readonly borrowing: Borrowing, readonly slice: BudgetSlice } {
   const slice = new BudgetSlice(0)
-  return { slice, borrowing: new Borrowing({ organisation: 'firm', holder: 'me.1', address: 'me:1', slice, client, log: silentLog, nowMs: () => 0 }) }
+  return { slice, borrowing: new Borrowing({ organisation: 'firm', holder: 'me.1', address: 'me:1', slice, client, log: silentLog, nowMs }) }
 }
 
 describe('Borrowing', () => {
@@ -39,4 +39,22 @@
     expect(slice.grantedTokens).toBe(0)
     expect(borrowing.isLost(lender)).toBe(true)
   })
+
+  // Guards against the last tokens of a budget lying idle at a router that gets no more requests of the organisation.
+  it('returns idle tokens that it holds when the budget has become scarce, without a request of its own', async () => {
+    let nowMs = 0
+    const stated: number[] = []
+    const replies = [{ grantedTokens: 500, plannedTokens: 400 }, { grantedTokens: 500, plannedTokens: 0 }, { grantedTokens: 0, plannedTokens: 0 }]
+    const client: LoanClient = {
+      requestLoan: (_address, { grantedTokens }) => {
+        stated.push(grantedTokens)
+        return Promise.resolve(Ok({ kind: 'lent', verdicts: [], lender: lender.holder, routers: 2, restateMs: 2000, ...replies[stated.length - 1]! }))
+      },
+      close: () => Promise.resolve()
+    }
+    const { borrowing } = createBorrowing(client, () => nowMs)
+    await borrowing.requestLoan(lender, [])
+    for (; nowMs < 4000; nowMs += 250) if (borrowing.isDue(lender)) await borrowing.requestLoan(lender, [])
+    expect(stated).toEqual([0, 500, 0])
+  })
 })
--- a/packages/gateway/src/node/borrowing.ts
+++ b/packages/gateway/src/node/borrowing.ts
@@ -47,6 +47,8 @@
   #failingLender: FailingLender | undefined
   /** Idle tokens that this router should hold for future requests, according to the last reply of the lender. */
   #plannedTokens = 0
+  /** Time between two messages while idle tokens are held, according to the last reply of the lender. */
+  #restateMs = Infinity
   #requestedMs = 0
   #routers = 1
 
@@ -81,8 +83,11 @@
 
   /** Whether a message to the lender is due although no request waits for tokens: to enlarge the loan or to return a part of it. */
   isDue (lender: LenderEntry): boolean {
-    if (this.#options.nowMs() - this.#requestedMs < requestIntervalMs) return false
-    return needsLoan(this.#options.slice.availableTokens, this.#plannedTokens) || this.#returnableTokens(lender) > 0
+    const { nowMs, slice } = this.#options
+    const sinceMs = nowMs() - this.#requestedMs
+    if (sinceMs < requestIntervalMs) return false
+    const isRestatementDue = sinceMs >= this.#restateMs && slice.idleTokens > 0 && this.#loanFrom(lender) > 0
+    return isRestatementDue || needsLoan(slice.availableTokens, this.#plannedTokens) || this.#returnableTokens(lender) > 0
   }
 
   /** Sends one message to the lender. It asks for the tokens of the waiting requests and of future ones, and returns idle tokens. */
@@ -146,10 +151,11 @@
     if (this.#returnableTokens(lender) > 0) await this.requestLoan(lender, [])
   }
 
-  #applyLoan (lender: LenderEntry, { grantedTokens, plannedTokens, routers }: Extract<LoanReply, { kind: 'lent' }>): void {
+  #applyLoan (lender: LenderEntry, { grantedTokens, plannedTokens, restateMs, routers }: Extract<LoanReply, { kind: 'lent' }>): void {
     const { slice } = this.#options
     this.#setLoan(lender, grantedTokens)
     this.#plannedTokens = plannedTokens
+    this.#restateMs = restateMs ?? Infinity
     this.#routers = routers
     slice.setFilledTokens(Math.min(plannedTokens, slice.availableTokens))
   }
--- a/packages/gateway/src/node/lending.ts
+++ b/packages/gateway/src/node/lending.ts
@@ -1,5 +1,5 @@
 /** Lender side of one budget: the loans that this router grants other routers from its slice. */
-import { LoanTracker, plannedIdleTokens, planPrefetch, type BudgetSlice } from '@buckthorndrift/policy'
+import { LoanTracker, loanRestateMs, plannedIdleTokens, planPrefetch, type BudgetSlice } from '@buckthorndrift/policy'
 import type { LoanReply, LoanRequest, LoanVerdict } from '../shared/loans.ts'
 import type { BudgetRequest, Reservation } from './budgetRequest.ts'
 
@@ -11,6 +11,7 @@
   reserve (request: BudgetRequest): Promise<Reservation> | Reservation
   /** Share of the budget that is not granted to any router. */
   unassignedShare (): number
+  prepaidTokens (): number
   /** Whether the store does not respond to this router. */
   isStoreAway (): boolean
   nowMs (): number
@@ -46,9 +47,12 @@
     // Existing loans stay valid, but a router that is no longer the lender grants no new ones.
     if (!isLender() && request.isPeerLoan !== true && request.requests.length > 0) return { kind: 'notLender' }
     const verdicts = await Promise.all(request.requests.map(each => this.#lendFor(request, each)))
-    const plannedTokens = isLender() ? plannedIdleTokens(this.#options.unassignedShare(), ratePerMs) : 0
+    const unassignedShare = this.#options.unassignedShare()
+    const plannedTokens = isLender() ? plannedIdleTokens(unassignedShare, ratePerMs) : 0
     this.#prefetch(request, plannedTokens)
-    return { kind: 'lent', grantedTokens: this.#book.loanOf(borrower).grantedTokens, plannedTokens, verdicts, routers: this.#book.borrowerCount + 1, isStoreAway: this.#options.isStoreAway() }
+    const prepaidTokens = this.#options.prepaidTokens()
+    const restateMs = loanRestateMs({ prepaidTokens, unassignedTokens: unassignedShare * prepaidTokens, ratePerMs: slice.ratePerMs(nowMs()) })
+    return { kind: 'lent', grantedTokens: this.#book.loanOf(borrower).grantedTokens, plannedTokens, restateMs, verdicts, routers: this.#book.borrowerCount + 1, isStoreAway: this.#options.isStoreAway() }
   }
 
   async #lendFor ({ borrower, sequence, maxWaitMs }: LoanRequest, { attemptId, tokens, rank }: LoanRequest['requests'][number]): Promise<LoanVerdict> {
--- a/packages/gateway/src/node/organisationLedger.ts
+++ b/packages/gateway/src/node/organisationLedger.ts
@@ -63,6 +63,7 @@
       isLender: () => this.#isLender,
       reserve: request => this.reserve(request),
       unassignedShare: () => unassignedShare(this.#grantInput()),
+      prepaidTokens: () => this.#prepaidTokens,
       isStoreAway: () => this.#isOutage,
       nowMs: () => this.#nowMs()
     })
--- a/packages/gateway/src/shared/loans.ts
+++ b/packages/gateway/src/shared/loans.ts
@@ -49,6 +49,8 @@
     grantedTokens: tokens,
     /** Idle tokens that the borrower should hold for future requests. */
     plannedTokens: tokens,
+    /** Time after which the borrower should send another message if it holds idle tokens, in ms. */
+    restateMs: z.optional(tokens),
     /** One verdict for each request, in the same order. */
     verdicts: z.array(verdictSchema),
     /** Whether the store does not respond to the lender, so that it cannot enlarge its slice. */
--- a/packages/policy/src/shared/ledger/__tests__/loans.test.ts
+++ b/packages/policy/src/shared/ledger/__tests__/loans.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from 'vitest'
-import { LoanTracker, needsLoan, plannedIdleTokens, planPrefetch, returnableTokens, type Loan } from '../index.ts'
+import { LoanTracker, loanRestateMs, needsLoan, plannedIdleTokens, planPrefetch, returnableTokens, type Loan } from '../index.ts'
 
 function statement (sequence: number, grantedTokens: number, committedTokens = 0): Loan {
   return { sequence, grantedTokens, committedTokens }
@@ -68,4 +68,14 @@
     expect(returnableTokens(2000, 1000)).toBe(0)
     expect(returnableTokens(5000, 1000)).toBe(4000)
   })
+
+  it('makes borrowers state idle tokens again before the budget is nearly exhausted, and each second from then on', () => {
+    const budget = { prepaidTokens: 1_000_000, ratePerMs: 30 }
+    for (let unassignedTokens = 900_000, waitedMs = 0; unassignedTokens > 50_000; unassignedTokens -= waitedMs * budget.ratePerMs) {
+      waitedMs = loanRestateMs({ ...budget, unassignedTokens })
+      expect(waitedMs).toBeLessThanOrEqual(Math.max(1000, (unassignedTokens - 50_000) / budget.ratePerMs))
+    }
+    expect(loanRestateMs({ ...budget, unassignedTokens: 20_000 })).toBe(1000)
+    expect(loanRestateMs({ ...budget, unassignedTokens: 900_000, ratePerMs: 0 })).toBe(30_000)
+  })
 })
--- a/packages/policy/src/shared/ledger/index.ts
+++ b/packages/policy/src/shared/ledger/index.ts
@@ -6,4 +6,4 @@
 export { LoanTracker, type Loan } from './loanTracker.ts'
 export { planReleaseLine, releasedTokens, releaseDelayMs, type ReleaseInput, type ReleaseLine } from './releaseLine.ts'
 export { PeerSearch } from './peerSearch.ts'
-export { needsLoan, plannedIdleTokens, planPrefetch, returnableTokens, type PrefetchInput } from './planLoan.ts'
+export { loanRestateMs, needsLoan, plannedIdleTokens, planPrefetch, returnableTokens, type PrefetchInput, type RestateInput } from './planLoan.ts'
--- a/packages/policy/src/shared/ledger/planLoan.ts
+++ b/packages/policy/src/shared/ledger/planLoan.ts
@@ -11,6 +11,18 @@
  */
 const prefetchMs = 1200
 
+/** Limits of the time after which a borrower states its idle tokens again. */
+const minRestateMs = 1000
+const maxRestateMs = 30_000
+
+export interface RestateInput {
+  readonly prepaidTokens: number
+  /** Tokens of the budget that no other router holds and the lender has not committed. */
+  readonly unassignedTokens: number
+  /** Spending rate of all routers in tokens per ms. */
+  readonly ratePerMs: number
+}
+
 export interface PrefetchInput {
   /** Idle tokens that the borrower should hold. */
   readonly plannedTokens: number
@@ -42,3 +54,14 @@
 export function returnableTokens (idleTokens: number, plannedTokens: number): number {
   return idleTokens > plannedTokens * returnFactor ? Math.floor(idleTokens - plannedTokens) : 0
 }
+
+/**
+ * Time after which a borrower with idle tokens should send another message, in which it returns what it does not
+ * need. Without it, the last tokens of a budget lie idle at routers that get no more requests of the organisation,
+ * while others refuse them.
+ */
+export function loanRestateMs ({ prepaidTokens, unassignedTokens, ratePerMs }: RestateInput): number {
+  const ampleTokens = unassignedTokens - prepaidTokens * nearlyExhaustedShare
+  if (ampleTokens <= 0) return minRestateMs
+  return Math.min(maxRestateMs, Math.max(minRestateMs, ampleTokens / Math.max(ratePerMs, Number.MIN_VALUE) / 2))
+}
