Order prompts at engines by how long they hold up others

Cause: the rank sent to engines came from priorities only (0, 4 and 8 with three route priorities), so that within a priority an engine started prompts of 54,000 tokens before short ones that arrived just after them. Change: the ranks 0 to 9 are divided among the priorities that the configuration holds (EngineRanks), and what is left tells quick prompts from long ones and from those that cannot meet their objective any more (standingOf), with an age limit. The tokens to read count the shared part that the home endpoint probably has. Tests: engineRanks.test.ts, without a network.

--- a/packages/gateway/src/node/callRun.ts
+++ b/packages/gateway/src/node/callRun.ts
@@ -104,7 +104,7 @@
     this.#startAttemptTimer(route, estimateMs)
     this.#state.metrics.attempts.inc({ service: service.name })
     if (endpoint.limit.requestsPerSecond !== undefined) this.#state.metrics.limitedAttempts.inc({ service: service.name })
-    const request = forwardedRequest({ state: this.#state, call: this.#input, endpointId: endpoint.entry.id, remainingMs: this.#remainingMs, resumeAfter: this.#eventSplitter.resumeAfter })
+    const request = forwardedRequest({ state: this.#state, call: this.#input, placement, remainingMs: this.#remainingMs, resumeAfter: this.#eventSplitter.resumeAfter })
     this.#exchange = new Exchange(endpoint.connections, this.#state.dialect, request, {
       onHead: head => { this.#onHead(head) },
       onData: chunk => { this.#onData(chunk) },
--- a/packages/gateway/src/node/gatewayState.ts
+++ b/packages/gateway/src/node/gatewayState.ts
@@ -1,13 +1,13 @@
 /** State that all requests of a gateway share: its view of the fleet, and the routing decisions that depend on it. */
 import type { Log } from '@buckthorndrift/kernel'
-import { canEndBeforeStop, placeCall, placeGeneration, rankByRendezvous, RecentDurations, type FailureReason, type Hasher, type OverloadGuard } from '@buckthorndrift/policy'
+import { canEndBeforeStop, placeCall, placeGeneration, prefillTokensPerMs, rankByRendezvous, RecentDurations, standingOf, type FailureReason, type Hasher, type OverloadGuard } from '@buckthorndrift/policy'
 import { isRepeatable } from '../shared/attemptRules.ts'
 import type { Deployment } from '../shared/deployment.ts'
 import type { ResponseAttributes } from '../shared/call.ts'
 import type { Dialect } from '../shared/dialect.ts'
 import type { ElapsedClock } from '../shared/elapsedClock.ts'
 import { EndpointDirectory } from '../shared/endpointDirectory.ts'
-import type { EndpointEntry, Organisation, Route, RouteTarget, Service } from '../shared/fleet.ts'
+import type { EndpointEntry, Route, RouteTarget, Service } from '../shared/fleet.ts'
 import type { LimitMessage, LimitReply } from '../shared/limitMessages.ts'
 import { RetryQuota } from '../shared/retryQuota.ts'
 import type { RouteTable } from '../shared/routeTable.ts'
@@ -26,6 +26,8 @@
   readonly endpoint: TrackedEndpoint
   /** Expected time to the first token in ms; 0 for services without an engine. */
   readonly estimateMs: number
+  /** Expected time in which the engine reads the prompt, without the time that it waits; 0 for services without an engine. */
+  readonly prefillMs: number
   /** Prompt tokens that the endpoint is not expected to have in its prefix cache. */
   readonly uncachedTokens: number
   /** Whether this is the endpoint that rendezvous hashing assigns to the shared part of the prompt, which is the same at all routers. */
@@ -64,10 +66,6 @@
   readonly random: () => number
 }
 
-/** Least urgent rank that an engine accepts. */
-const maxUrgency = 9
-/** Number of ranks that engines distinguish within each priority of an organisation. */
-const ranksPerPriority = 3
 const retryAfterMs = 400
 const minJitter = 0.75
 /** Part of the latency objective above which the expected time to the first token keeps a request away from a version under trial. A trial is no reason to answer late. */
@@ -155,10 +153,10 @@
     return targets.at(-1)?.service
   }
 
-  /** Rank that is sent to engines. The priority of the organisation comes first; the priority of the route breaks ties. */
-  urgencyOf (route: Route, organisation: Organisation | undefined): number {
-    const basePriority = organisation?.priority ?? route.priority
-    return Math.min(maxUrgency, basePriority * ranksPerPriority + Math.min(route.priority, ranksPerPriority - 1))
+  /** Rank that is sent to engines: by the priority of the organisation, that of the route, and by how long the prompt holds up others. */
+  urgencyOf ({ route, organisation, arrivedMs, deadlineAtMs }: CallInput, placement: Placement): number | undefined {
+    const standing = standingOf({ prefillMs: placement.prefillMs, objectiveMs: route.objectiveMs, timeoutMs: deadlineAtMs - arrivedMs, waitedMs: this.clock.nowMs() - arrivedMs })
+    return this.routeTable?.engineRanks.rankOf({ base: organisation?.priority ?? route.priority, route: route.priority }, standing)
   }
 
   /** Retry delay for refused callers, with jitter. While all endpoints of the service have asked for a pause, it lasts until the first pause ends; while all have limits that are used up, until one takes a request of this caller. */
@@ -270,7 +268,7 @@
     const candidates = endpoints.map(entry => this.endpoints.getOrCreate(entry, nowMs).callCandidate(this.deployment.failureDomain, nowMs))
     const id = placeCall(candidates, tried, this.#random)
     const endpoint = id === undefined ? undefined : this.endpoints.get(id)
-    return endpoint === undefined ? undefined : { endpoint, estimateMs: 0, uncachedTokens: 0, isHome: false }
+    return endpoint === undefined ? undefined : { endpoint, estimateMs: 0, prefillMs: 0, uncachedTokens: 0, isHome: false }
   }
 
   #placeGeneration (input: CallInput, endpoints: readonly EndpointEntry[], tried: ReadonlySet<string>, nowMs: number): Placement | undefined {
@@ -286,8 +284,8 @@
     const choice = placeGeneration(placementInput)
     const endpoint = choice === undefined ? undefined : this.endpoints.get(choice.id)
     if (choice === undefined || endpoint === undefined) return undefined
-    const cachedTokens = candidates.find(candidate => candidate.id === choice.id)?.cachedTokens ?? 0
-    return { endpoint, estimateMs: choice.estimateMs, uncachedTokens: Math.max(0, promptTokens - cachedTokens), isHome: choice.id === homeId }
+    const { estimateMs, readTokens } = choice
+    return { endpoint, estimateMs, prefillMs: readTokens / prefillTokensPerMs, uncachedTokens: readTokens, isHome: choice.id === homeId }
   }
 
   /** Records a finished request in the log and the metrics. */
--- a/packages/gateway/src/shared/routeTable.ts
+++ b/packages/gateway/src/shared/routeTable.ts
@@ -1,8 +1,21 @@
 /** Lookup of routes, API keys and services in one version of the configuration. */
+import { EngineRanks, type RequestPriority } from '@buckthorndrift/policy'
 import type { FleetConfiguration, Organisation, Route, Service } from './fleet.ts'
 
+/** Priorities of requests that engines may get under a configuration. */
+function enginePriorities ({ routes, services, organisations }: FleetConfiguration): readonly RequestPriority[] {
+  const engines = new Set(services.filter(({ engine }) => engine !== undefined).map(({ name }) => name))
+  const engineRoutes = routes.filter(({ targets }) => targets.some(({ service }) => engines.has(service)))
+  const organisationPriorities = new Set((organisations ?? []).map(({ priority }) => priority))
+  if (organisations === undefined || engineRoutes.some(({ isPublic }) => isPublic)) organisationPriorities.add(undefined)
+  const routePriorities = [...new Set(engineRoutes.map(({ priority }) => priority))]
+  return routePriorities.flatMap(route => [...organisationPriorities].map(priority => ({ base: priority ?? route, route })))
+}
+
 export class RouteTable {
   readonly configuration: FleetConfiguration
+  /** Ranks by which engines start requests. */
+  readonly engineRanks: EngineRanks
   /** Routes by host, ordered from the longest path prefix to the shortest. */
   readonly #routes = new Map<string, Route[]>()
   /** Organisations by API key. */
@@ -11,6 +24,7 @@
 
   constructor (configuration: FleetConfiguration) {
     this.configuration = configuration
+    this.engineRanks = new EngineRanks(enginePriorities(configuration))
     for (const route of configuration.routes) {
       const routes = this.#routes.get(route.host) ?? []
       routes.push(route)
--- a/packages/policy/src/shared/placement/index.ts
+++ b/packages/policy/src/shared/placement/index.ts
@@ -1,3 +1,4 @@
+export { EngineRanks, standingOf, type PromptStanding, type RequestPriority, type StandingInput } from './engineRanks.ts'
 export { EndpointHealth } from './endpointHealth.ts'
 export { PrefixHistory, type PrefixPart } from './prefixHistory.ts'
 export { estimateFirstTokenMs, placeGeneration, prefillTokensPerMs, type GenerationCandidate, type GenerationChoice, type GenerationPlacement } from './placeGeneration.ts'
--- a/packages/policy/src/shared/placement/placeGeneration.ts
+++ b/packages/policy/src/shared/placement/placeGeneration.ts
@@ -39,6 +39,8 @@
   readonly id: string
   /** Estimated time to the first token. */
   readonly estimateMs: number
+  /** Prompt tokens that the endpoint probably has to read. */
+  readonly readTokens: number
 }
 
 /** Prefill speed of an engine. It only has to be accurate enough to compare endpoints. */
@@ -56,11 +58,15 @@
 const memoryLimitShare = 0.6
 const memoryPenaltyMs = 500
 
+/** Prompt tokens that an endpoint has to read, by what this router and the others have probably sent there. */
+function expectedReadTokens (choice: GenerationChoice, candidate: GenerationCandidate): number {
+  const expectedShared = candidate.id === choice.homeId ? choice.sharedTokens * homeCachedProbability : 0
+  return Math.max(0, choice.promptTokens - Math.max(candidate.cachedTokens, expectedShared))
+}
+
 /** Estimated time to the first token at one endpoint, in ms. */
 export function estimateFirstTokenMs (choice: GenerationChoice, candidate: GenerationCandidate): number {
-  const expectedShared = candidate.id === choice.homeId ? choice.sharedTokens * homeCachedProbability : 0
-  const cached = Math.min(choice.promptTokens, Math.max(candidate.cachedTokens, expectedShared))
-  const prefillMs = (choice.promptTokens - cached + candidate.pendingTokens * pendingWeight) / prefillTokensPerMs
+  const prefillMs = (expectedReadTokens(choice, candidate) + candidate.pendingTokens * pendingWeight) / prefillTokensPerMs
   const memoryShare = (candidate.heldTokens + choice.promptTokens) / candidate.capacityTokens
   const memoryMs = memoryShare > memoryLimitShare ? memoryPenaltyMs * memoryShare : 0
   return prefillMs + candidate.running * runningCostMs + memoryMs + candidate.excessMs
@@ -87,7 +93,7 @@
     const cost = estimateMs + candidate.failureShare * failurePenaltyMs + repeatedPrefillCostMs(choice, candidate)
     if (cost >= bestCost) continue
     bestCost = cost
-    best = { id: candidate.id, estimateMs }
+    best = { id: candidate.id, estimateMs, readTokens: expectedReadTokens(choice, candidate) }
   }
   return best
 }
