Share the load of engines between the routers of large fleets

Cause: a router estimated the time to the first token by its own requests only. With 27 and 48 routers before 35 and 38 engines these are a few in a hundred of an engine's work, so that short prompts were sent behind long ones of others. Change: each router reports the tokens to read, the requests and the memory that it has at engines to an aggregator over the peer listener every 200 ms, and at once after a long prompt, and gets the sums of all others with their age. The aggregator is the first rank by rendezvous hashing, large VMs first; the next one takes its place when it does not answer. Without news for a second, or with reports of under a quarter of the routers, a router counts by itself as before. It is used from 16 routers on. Equal endpoints are chosen from at random. The backlog falls while an engine reads. requestFinished tells sentAfterMs. Tests without a network: engineLoad.test.ts, mixedLoad.test.ts (long and short prompts, 24 routers, 12 engines a third busy: short ones within their objective in under 95 of 100 without, over 98 with it), sharedEngineLoads.test.ts.

--- a/packages/gateway/src/node/__tests__/endpointLimits.test.ts
+++ b/packages/gateway/src/node/__tests__/endpointLimits.test.ts
@@ -7,7 +7,7 @@
 import { TrackedEndpoint } from '../trackedEndpoints.ts'
 
 const hasher = await createHasher()
-const routers = ['a', 'b', 'c', 'd', 'e', 'f', 'g', 'h'].map(id => ({ id, address: `${id}:1` }))
+const routers = ['a', 'b', 'c', 'd', 'e', 'f', 'g', 'h'].map(id => ({ id, address: `${id}:1`, processorCores: undefined }))
 const entry = { id: 'endpoint-1', service: 'desk', address: '127.0.0.1:1', failureDomain: 'zone-a', version: 'v1', slots: 8, isDraining: false, startedAtMs: 1, sequence: 1 }
 /** A limit that two of the routers share, and a third one if one of them does not respond. */
 const requestsPerSecond = 0.4
--- a/packages/gateway/src/node/__tests__/routerDirectory.test.ts
+++ b/packages/gateway/src/node/__tests__/routerDirectory.test.ts
@@ -44,7 +44,7 @@
   })
 
   function directoryOf (nodeName: string): RouterDirectory {
-    return new RouterDirectory({ store: fake.store, timers, log: silentLog, nodeName, address: `${nodeName}:1`, random: () => 0.5 })
+    return new RouterDirectory({ store: fake.store, timers, log: silentLog, nodeName, address: `${nodeName}:1`, processorCores: undefined, random: () => 0.5 })
   }
 
   /** Lets time pass in steps, so that calls to the store finish between them. */
--- a/packages/gateway/src/node/endpointAttempt.ts
+++ b/packages/gateway/src/node/endpointAttempt.ts
@@ -1,5 +1,5 @@
 /** Accounting of one attempt: the load that it adds to the endpoint, and the latency samples that it yields. */
-import type { Observation } from '@buckthorndrift/policy'
+import { prefillTokensPerMs, type Observation } from '@buckthorndrift/policy'
 import type { Generation } from '../shared/call.ts'
 import type { TrackedEndpoint } from './trackedEndpoints.ts'
 
@@ -51,14 +51,14 @@
     endpoint.running++
     endpoint.lastSentMs = options.nowMs
     endpoint.heldTokens += heldTokensOf(options.generation)
-    endpoint.pendingTokens += options.uncachedTokens
+    if (options.generation !== undefined) endpoint.backlog.add(options.uncachedTokens, prefillTokensPerMs, options.nowMs)
   }
 
   /** Records the first byte of the response. By then the engine has read the prompt. */
   recordFirstByte (nowMs: number): void {
     if (this.#firstByteMs !== undefined) return
     this.#firstByteMs = nowMs
-    this.#clearPending()
+    this.#clearPending(nowMs)
     if (this.#generation === undefined) return
     this.#onObservation({ kind: 'latency', durationMs: nowMs - this.sentMs })
     if (this.#uncachedTokens <= maxSampledPromptTokens) this.endpoint.recordExcessMs(nowMs - this.sentMs - this.estimateMs, nowMs)
@@ -91,7 +91,7 @@
     if (isSuccess === true && (this.#generation === undefined || this.#firstByteMs === undefined)) this.#onObservation({ kind: 'latency', durationMs: nowMs - this.sentMs })
     // A stream that fails, for example at its deadline, would have had at least one more event.
     if (isSuccess !== undefined) this.#observeGap(nowMs, isSuccess ? this.#laterEvents : this.#laterEvents + 1)
-    this.#clearPending()
+    this.#clearPending(nowMs)
     this.endpoint.running--
     this.endpoint.heldTokens -= heldTokensOf(this.#generation)
   }
@@ -102,8 +102,8 @@
     this.#onObservation({ kind: 'eventGap', durationMs: (nowMs - this.#firstEventMs) / gaps })
   }
 
-  #clearPending (): void {
-    this.endpoint.pendingTokens -= this.#pendingTokens
+  #clearPending (nowMs: number): void {
+    this.endpoint.backlog.remove(this.#pendingTokens, prefillTokensPerMs, nowMs)
     this.#pendingTokens = 0
   }
 }
--- a/packages/gateway/src/node/gatewayMetrics.ts
+++ b/packages/gateway/src/node/gatewayMetrics.ts
@@ -29,6 +29,8 @@
   loopDelayMs (): number
   /** Time since the last response of the store. */
   storeAgeMs (): number
+  /** Age of the engine loads that other routers told; `Infinity` without any. */
+  sharedLoadAgeMs (): number
   droppedLogLines (): number
 }
 
@@ -52,6 +54,7 @@
   gauge('resource_use_ratio', 'used share of the network link or the processor, whichever is scarcer', sources.resourceUse)
   gauge('event_loop_delay_ms', 'how late the event loop is, in ms', sources.loopDelayMs)
   gauge('store_age_ms', 'time since the store last answered, in ms', sources.storeAgeMs)
+  gauge('shared_load_age_ms', 'age of the engine loads that other routers told, in ms; +Inf without any', sources.sharedLoadAgeMs)
   gauge('dropped_log_lines', 'log lines dropped since the last line that said so', sources.droppedLogLines)
   gauge('resident_memory_mb', 'resident memory in MB', () => process.memoryUsage.rss() / bytesPerMb)
   return {
@@ -74,7 +77,7 @@
 /** Renders the documentation page of all metrics. `otherPrograms` is the page of the other programs, to which the gateway's section is appended. */
 export async function metricsPage (otherPrograms: string): Promise<string> {
   const none = (): number => 0
-  const { registry } = createGatewayMetrics({ openRequests: none, resourceUse: none, loopDelayMs: none, storeAgeMs: none, droppedLogLines: none })
+  const { registry } = createGatewayMetrics({ openRequests: none, resourceUse: none, loopDelayMs: none, storeAgeMs: none, sharedLoadAgeMs: none, droppedLogLines: none })
   const metrics = await registry.getMetricsAsJSON()
   const rows = metrics.map(({ name, type, help }) => `| \`${name}\` | ${String(type)} | ${help} |`).sort()
   const intro = '## Gateway\n\nServed as text on the metrics address; the label `service` has one value for each service.'
--- a/packages/gateway/src/node/gatewayState.ts
+++ b/packages/gateway/src/node/gatewayState.ts
@@ -18,12 +18,14 @@
 import type { EndpointLimits } from './endpointLimits.ts'
 import { TrackedEndpoints, type TrackedEndpoint } from './trackedEndpoints.ts'
 import type { Rollouts } from './rollouts.ts'
+import type { SharedEngineLoads } from './sharedEngineLoads.ts'
 import type { GatewayMetrics } from './gatewayMetrics.ts'
 import type { LoadMeter } from './loadMeter.ts'
 
 /** The endpoint chosen for one attempt. */
 export interface Placement {
   readonly endpoint: TrackedEndpoint
+  readonly placedMs: number
   /** Expected time to the first token in ms; 0 for services without an engine. */
   readonly estimateMs: number
   /** Expected time in which the engine reads the prompt, without the time that it waits; 0 for services without an engine. */
@@ -62,6 +64,7 @@
   readonly load: LoadMeter
   readonly rollouts: Rollouts
   readonly limits: EndpointLimits
+  readonly engineLoads: SharedEngineLoads
   readonly hasher: Hasher
   readonly random: () => number
 }
@@ -89,6 +92,7 @@
   readonly load: LoadMeter
   readonly rollouts: Rollouts
   readonly limits: EndpointLimits
+  readonly engineLoads: SharedEngineLoads
   readonly #hasher: Hasher
   readonly #random: () => number
   readonly #retryQuotas = new Map<string, RetryQuota>()
@@ -111,6 +115,7 @@
     this.rollouts = options.rollouts
     this.limits = options.limits
     this.endpoints = new TrackedEndpoints(socket => { this.load.track(socket) })
+    this.engineLoads = options.engineLoads
     this.#hasher = options.hasher
     this.#random = options.random
   }
@@ -247,8 +252,10 @@
   place (input: CallInput, tried: ReadonlySet<string>): Placement | undefined {
     const isRepeated = tried.size > 0
     const placement = this.#placeAmong(input, tried, isRepeated)
-    if (isRepeated || placement === undefined) return placement
-    const chosen = this.#avoidLateTrial(input, tried, placement)
+    if (placement === undefined) return undefined
+    const chosen = isRepeated ? placement : this.#avoidLateTrial(input, tried, placement)
+    this.engineLoads.recordPlaced(chosen.uncachedTokens)
+    if (isRepeated) return chosen
     this.rollouts.countPlacement(chosen.endpoint.entry)
     return chosen
   }
@@ -268,7 +275,7 @@
     const candidates = endpoints.map(entry => this.endpoints.getOrCreate(entry, nowMs).callCandidate(this.deployment.failureDomain, nowMs))
     const id = placeCall(candidates, tried, this.#random)
     const endpoint = id === undefined ? undefined : this.endpoints.get(id)
-    return endpoint === undefined ? undefined : { endpoint, estimateMs: 0, prefillMs: 0, uncachedTokens: 0, isHome: false }
+    return endpoint === undefined ? undefined : { endpoint, placedMs: nowMs, estimateMs: 0, prefillMs: 0, uncachedTokens: 0, isHome: false }
   }
 
   #placeGeneration (input: CallInput, endpoints: readonly EndpointEntry[], tried: ReadonlySet<string>, nowMs: number): Placement | undefined {
@@ -278,14 +285,14 @@
     const shared = prompt.slice(0, -1)
     const key = shared.at(-1)?.id
     const homeId = key === undefined ? undefined : rankByRendezvous(this.#hasher, key, endpoints)[0]?.id
-    const candidates = endpoints.map(entry => this.endpoints.getOrCreate(entry, nowMs).generationCandidate(prompt, capacityTokens, nowMs))
+    const candidates = endpoints.map(entry => this.endpoints.getOrCreate(entry, nowMs).generationCandidate(prompt, capacityTokens, this.engineLoads.othersAt(entry.id, prefillTokensPerMs), nowMs))
     const sharedTokens = shared.reduce((sum, part) => sum + part.tokens, 0)
-    const placementInput = { candidates, promptTokens, homeId, sharedTokens, tried }
+    const placementInput = { candidates, promptTokens, homeId, sharedTokens, tried, random: this.#random }
     const choice = placeGeneration(placementInput)
     const endpoint = choice === undefined ? undefined : this.endpoints.get(choice.id)
     if (choice === undefined || endpoint === undefined) return undefined
     const { estimateMs, readTokens } = choice
-    return { endpoint, estimateMs, prefillMs: readTokens / prefillTokensPerMs, uncachedTokens: readTokens, isHome: choice.id === homeId }
+    return { endpoint, placedMs: nowMs, estimateMs, prefillMs: readTokens / prefillTokensPerMs, uncachedTokens: readTokens, isHome: choice.id === homeId }
   }
 
   /** Records a finished request in the log and the metrics. */
@@ -314,6 +321,7 @@
       events: result.events,
       longestGapMs: Math.round(result.longestGapMs),
       firstByteMs: Math.round(result.firstByteMs ?? -1),
+      sentAfterMs: Math.round(result.placement === undefined ? -1 : result.placement.placedMs - input.arrivedMs),
       estimateMs: Math.round(result.placement?.estimateMs ?? -1),
       uncachedTokens: result.placement?.uncachedTokens ?? 0,
       isHome: result.placement?.isHome ?? false,
--- a/packages/gateway/src/node/peerServer.ts
+++ b/packages/gateway/src/node/peerServer.ts
@@ -1,11 +1,13 @@
-/** HTTP server for the messages of other routers: loan requests, clock comparisons, outcomes for rollouts and limits of endpoints. */
+/** HTTP server for the messages of other routers: loan requests, clock comparisons, outcomes for rollouts, limits of endpoints and loads of engines. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type * as z from 'zod/mini'
 import { limitMessageSchema, type LimitMessage, type LimitReply } from '../shared/limitMessages.ts'
+import { loadMessageSchema, type LoadMessage, type LoadReply } from '../shared/loadMessages.ts'
 import { loanRequestSchema, type LoanReply, type LoanRequest } from '../shared/loans.ts'
 import { outcomeReportSchema, type OutcomeReportMessage, type ReportReply } from '../shared/outcomes.ts'
 import { clockPath, type ClockAnswer } from './clockPeers.ts'
 import { limitsPath } from './limitClient.ts'
+import { loadsPath } from './loadClient.ts'
 import { loansPath } from './loanClient.ts'
 import { outcomesPath } from './outcomeClient.ts'
 import { readBody } from './readBody.ts'
@@ -19,6 +21,8 @@
   receiveOutcomes (report: OutcomeReportMessage): ReportReply
   /** Takes what another router knows of a limit. Returns `undefined` if the endpoint is not known here. */
   receiveLimit (message: LimitMessage): LimitReply | undefined
+  /** Takes the load that another router puts on engines. */
+  receiveLoad (message: LoadMessage): LoadReply
 }
 
 function parse<Schema extends z.ZodMiniType> (schema: Schema, body: Buffer | undefined): z.infer<Schema> | undefined {
@@ -29,7 +33,7 @@
   }
 }
 
-function sendJson (response: ServerResponse, body: LoanReply | ClockAnswer | LimitReply | ReportReply): void {
+function sendJson (response: ServerResponse, body: LoanReply | ClockAnswer | LimitReply | LoadReply | ReportReply): void {
   const source = JSON.stringify(body)
   response.writeHead(200, { 'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(source) }).end(source)
 }
@@ -38,7 +42,7 @@
   response.writeHead(status, { 'Content-Length': 0 }).end()
 }
 
-export function createPeerServer ({ lend, readClock, receiveOutcomes, receiveLimit }: PeerServerOptions): Server {
+export function createPeerServer ({ lend, readClock, receiveOutcomes, receiveLimit, receiveLoad }: PeerServerOptions): Server {
   async function handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
     const read = await readBody(request, maxBodyBytes)
     if (read.kind === 'aborted') return
@@ -60,6 +64,12 @@
         else sendJson(response, reply)
         return
       }
+      case loadsPath: {
+        const message = parse(loadMessageSchema, body)
+        if (message === undefined) sendStatus(response, 400)
+        else sendJson(response, receiveLoad(message))
+        return
+      }
       case loansPath: {
         const loan = parse(loanRequestSchema, body)
         if (loan === undefined) sendStatus(response, 400)
--- a/packages/gateway/src/node/routerDirectory.ts
+++ b/packages/gateway/src/node/routerDirectory.ts
@@ -9,6 +9,8 @@
 const entrySchema = z.object({
   /** `HOST:PORT` for the messages of other routers. */
   address: z.optional(z.string()),
+  /** Processor cores of the VM. */
+  processorCores: z.optional(z.number()),
   /** Increases with each renewal. */
   sequence: z.number()
 })
@@ -17,6 +19,8 @@
   /** Name of the node. It stays the same when the process restarts. */
   readonly id: string
   readonly address: string | undefined
+  /** Processor cores of its VM; `undefined` if it did not tell. */
+  readonly processorCores: number | undefined
 }
 
 export interface RouterDirectoryOptions {
@@ -25,6 +29,7 @@
   readonly log: Log
   readonly nodeName: string
   readonly address: string | undefined
+  readonly processorCores: number | undefined
   readonly random: () => number
 }
 
@@ -111,8 +116,8 @@
   }
 
   async #renew (): Promise<void> {
-    const { store, nodeName, address } = this.#options
-    const entry = { ...(address === undefined ? {} : { address }), sequence: ++this.#sequence }
+    const { store, nodeName, address, processorCores } = this.#options
+    const entry = { ...(address === undefined ? {} : { address }), ...(processorCores === undefined ? {} : { processorCores }), sequence: ++this.#sequence }
     const created = await store.create('routers', nodeName, entry)
     const existing = created.isErr() && created.error.kind === 'conflict' ? created.error.object : undefined
     const result = existing === undefined ? created : await store.replace('routers', nodeName, { ...entry, sequence: this.#sequenceAfter(existing) }, existing.revision)
@@ -149,7 +154,7 @@
       const entry = entrySchema.safeParse(value).data
       const known = before.get(name)
       const unchangedMs = known?.revision === revision ? known.unchangedMs + sinceMs : 0
-      if (entry !== undefined) this.#entries.set(name, { id: name, address: entry.address, revision, unchangedMs })
+      if (entry !== undefined) this.#entries.set(name, { id: name, address: entry.address, processorCores: entry.processorCores, revision, unchangedMs })
     }
     this.#update([...this.#entries.values()].filter(({ unchangedMs }) => unchangedMs < expiryMs))
     for (const { id, unchangedMs } of this.#entries.values()) if (unchangedMs >= removalMs) this.#removeExpired(id)
@@ -162,9 +167,9 @@
 
   /** Replaces the known routers if the live entries name others. This router counts also before its entry is listed. */
   #update (live: readonly Entry[]): void {
-    const { nodeName, address, log } = this.#options
-    const own: KnownRouter = { id: nodeName, address }
-    const others = live.filter(({ id }) => id !== nodeName).map((entry): KnownRouter => ({ id: entry.id, address: entry.address }))
+    const { nodeName, address, processorCores, log } = this.#options
+    const own: KnownRouter = { id: nodeName, address, processorCores }
+    const others = live.filter(({ id }) => id !== nodeName).map((entry): KnownRouter => ({ id: entry.id, address: entry.address, processorCores: entry.processorCores }))
     const routers = [...others, own].toSorted((left, right) => left.id < right.id ? -1 : 1)
     if (isSameFleet(this.#routers, routers)) return
     const before = this.#routers?.length ?? 0
--- a/packages/gateway/src/node/startGateway.ts
+++ b/packages/gateway/src/node/startGateway.ts
@@ -18,10 +18,12 @@
 import { GatewayState } from './gatewayState.ts'
 import { LoadMeter } from './loadMeter.ts'
 import { createLimitClient } from './limitClient.ts'
+import { createLoadClient } from './loadClient.ts'
 import { createLoanClient } from './loanClient.ts'
 import { createOutcomeClient } from './outcomeClient.ts'
 import { createPeerServer } from './peerServer.ts'
 import { Rollouts } from './rollouts.ts'
+import { SharedEngineLoads } from './sharedEngineLoads.ts'
 import { RouterDirectory } from './routerDirectory.ts'
 import { LoopDelay } from './loopDelay.ts'
 import { meteredStore } from './meteredStore.ts'
@@ -84,6 +86,7 @@
     resourceUse: () => guard.utilization,
     loopDelayMs: () => loopDelay.delayMs,
     storeAgeMs: () => store.responseAgeMs(),
+    sharedLoadAgeMs: () => engineLoads.ageMs(),
     droppedLogLines: options.droppedLogLines
   })
   const store = meteredStore(options.store, metrics)
@@ -91,7 +94,8 @@
     lend: request => ledger.lend(request),
     readClock: () => ({ node: deployment.nodeName, wallMs: timers.nowMs() }),
     receiveOutcomes: report => state.rollouts.receiveReport(report),
-    receiveLimit: message => state.receiveLimit(message)
+    receiveLimit: message => state.receiveLimit(message),
+    receiveLoad: message => engineLoads.receive(message)
   })
   const loanClient = createLoanClient()
   const { peers } = deployment
@@ -120,10 +124,12 @@
     hasEndpoint: (service, version) => state.directory.ready(service).some(endpoint => endpoint.version === version)
   })
   const hasher = await createHasher()
-  const routers = new RouterDirectory({ store, timers, log, nodeName: deployment.nodeName, address: loans?.address, random })
+  const routers = new RouterDirectory({ store, timers, log, nodeName: deployment.nodeName, address: loans?.address, processorCores: deployment.processorCores, random })
   const limitClient = createLimitClient()
   const limits = new EndpointLimits({ clock, timers, log, hasher, nodeName: deployment.nodeName, routers, client: limitClient, endpoints: () => state.endpoints.all() })
-  const state: GatewayState = new GatewayState({ deployment, dialect, clock, log, metrics, ledger, crashes, guard, load, rollouts, limits, hasher, random })
+  const loadClient = createLoadClient()
+  const engineLoads = new SharedEngineLoads({ timers, log, hasher, nodeName: deployment.nodeName, routers, client: loadClient, ownLoads: nowMs => state.endpoints.engineLoads(nowMs) })
+  const state: GatewayState = new GatewayState({ deployment, dialect, clock, log, metrics, ledger, crashes, guard, load, rollouts, limits, engineLoads, hasher, random })
   const callers = new CallerServer(state)
   const loopDelay = new LoopDelay({ timers, log, openRequests: () => state.openRequests })
   const followers = followFleet({
@@ -163,6 +169,7 @@
     void loanClient.close()
     void outcomeClient.close()
     void limitClient.close()
+    void loadClient.close()
     callers.resetUnfinished()
     for (const server of servers) {
       server.close()
@@ -200,6 +207,7 @@
       followers.stop()
       rollouts.stop()
       limits.stop()
+      engineLoads.stop()
       routers.stop()
       crashes.stop()
       loopDelay.stop()
@@ -213,6 +221,7 @@
       followers.stop()
       rollouts.stop()
       limits.stop()
+      engineLoads.stop()
       routers.stop()
       crashes.stop()
       loopDelay.stop()
--- a/packages/gateway/src/node/trackedEndpoints.ts
+++ b/packages/gateway/src/node/trackedEndpoints.ts
@@ -1,6 +1,6 @@
 /** Local state of each endpoint: its connections, and the load, health and latency that this router has observed with its own requests. */
 import type { Socket } from 'node:net'
-import { EndpointHealth, KnownLimit, PrefixHistory, type CallCandidate, type GenerationCandidate, type PrefixPart } from '@buckthorndrift/policy'
+import { EndpointHealth, KnownLimit, PrefillBacklog, PrefixHistory, prefillTokensPerMs, type CallCandidate, type EngineLoad, type GenerationCandidate, type PrefixPart } from '@buckthorndrift/policy'
 import type { EndpointEntry } from '../shared/fleet.ts'
 import { EndpointConnections } from './endpointConnections.ts'
 
@@ -24,8 +24,8 @@
   lastSentMs = -Infinity
   /** Requests of this router that are in flight. */
   running = 0
-  /** Uncached prompt tokens of requests that wait for their first byte. */
-  pendingTokens = 0
+  /** Prompt tokens of this router's requests that the engine still has to read. */
+  readonly backlog = new PrefillBacklog()
   /** Estimated tokens that the requests in flight hold in the memory of the engine. */
   heldTokens = 0
   /** Until this time the endpoint asked to get no requests. */
@@ -68,13 +68,19 @@
     }
   }
 
-  generationCandidate (parts: readonly PrefixPart[], capacityTokens: number, nowMs: number): GenerationCandidate {
+  /** Load that the requests of this router put on the endpoint's engine. */
+  engineLoad (nowMs: number): EngineLoad {
+    return { pendingTokens: this.backlog.tokens(prefillTokensPerMs, nowMs), running: this.running, heldTokens: this.heldTokens }
+  }
+
+  /** `others` is the load of the other routers; `undefined` if it is not known. */
+  generationCandidate (parts: readonly PrefixPart[], capacityTokens: number, others: EngineLoad | undefined, nowMs: number): GenerationCandidate {
+    const load = this.engineLoad(nowMs)
     return {
       id: this.entry.id,
       cachedTokens: this.prefixes.cachedTokens(parts, nowMs),
-      pendingTokens: this.pendingTokens,
-      running: this.running,
-      heldTokens: this.heldTokens,
+      ...load,
+      others,
       capacityTokens,
       failureShare: this.health.failureShare(nowMs),
       isAvoided: this.health.isAvoided(nowMs),
@@ -106,6 +112,11 @@
     return this.#endpoints.values()
   }
 
+  /** Loads of the endpoints that run generations of this router. */
+  engineLoads (nowMs: number): ReadonlyMap<string, EngineLoad> {
+    return new Map([...this.#endpoints].filter(([, endpoint]) => endpoint.heldTokens > 0).map(([id, endpoint]) => [id, endpoint.engineLoad(nowMs)]))
+  }
+
   get (id: string): TrackedEndpoint | undefined {
     return this.#endpoints.get(id)
   }
--- a/packages/kernel/src/shared/events/gatewayEvents.ts
+++ b/packages/kernel/src/shared/events/gatewayEvents.ts
@@ -18,6 +18,7 @@
   endpointPaused: { number: 1817, level: 'info', message: 'an endpoint rejected a request and asked for a pause; it gets no requests until the pause ends', action: 'If it happens often, the endpoints of the service lack capacity.' },
   endpointLimitChanged: { number: 1819, level: 'info', message: 'an endpoint named a limit for the requests of all routers together, changed it, or takes any number again', action: 'With a low limit on many endpoints, the service lacks capacity.' },
   limitExchangeFailed: { number: 1826, level: 'info', message: 'another router did not tell whether the limit of an endpoint still holds; the next one is asked', action: 'If it goes on, check the network between the routers.' },
+  loadExchangeFailed: { number: 1827, level: 'info', message: 'another router did not sum up the load of engines; the next one is asked', action: 'If it goes on, check the network between the routers. Meanwhile this router places requests by its own load.' },
   storeContactLost: { number: 1815, level: 'warn', message: 'the store does not respond', action: 'Check the store and the network. The last known state stays in use.' },
   storeContactRegained: { number: 1816, level: 'info', message: 'the store responds again', action: 'none' },
   storeRestored: { number: 1818, level: 'warn', message: 'the store was restored from an older copy; this router stores its own state again', action: 'Write changes of the lost time again, if operators made any.' },
--- /dev/null
+++ b/packages/policy/src/shared/engineLoad/index.ts
@@ -0,0 +1,5 @@
+export { addLoads, noLoad, type EngineLoad, type EngineLoads } from './engineLoad.ts'
+export { LoadSums, type OthersLoad } from './loadSums.ts'
+export { PrefillBacklog } from './prefillBacklog.ts'
+export { rankAggregators, type AggregatorCandidate } from './rankAggregators.ts'
+export { SharedLoad } from './sharedLoad.ts'
--- a/packages/policy/src/shared/placement/__tests__/placement.test.ts
+++ b/packages/policy/src/shared/placement/__tests__/placement.test.ts
@@ -2,11 +2,11 @@
 import { EndpointHealth, placeCall, placeGeneration, PrefixHistory, type CallCandidate, type GenerationCandidate, type GenerationChoice } from '../index.ts'
 
 const idle: GenerationCandidate = {
-  id: 'a', cachedTokens: 0, pendingTokens: 0, running: 0, heldTokens: 0, capacityTokens: 500_000, failureShare: 0, isAvoided: false, excessMs: 0
+  id: 'a', cachedTokens: 0, pendingTokens: 0, running: 0, heldTokens: 0, others: undefined, capacityTokens: 500_000, failureShare: 0, isAvoided: false, excessMs: 0
 }
 
 function choiceOf (candidates: readonly GenerationCandidate[], changes: Partial<GenerationChoice> = {}): GenerationChoice {
-  return { candidates, promptTokens: 6000, homeId: 'b', sharedTokens: 5000, tried: new Set(), ...changes }
+  return { candidates, promptTokens: 6000, homeId: 'b', sharedTokens: 5000, tried: new Set(), random: () => 0, ...changes }
 }
 
 describe('placeGeneration', () => {
--- a/packages/policy/src/shared/placement/placeGeneration.ts
+++ b/packages/policy/src/shared/placement/placeGeneration.ts
@@ -5,16 +5,20 @@
  * endpoint, which all routers derive from the shared part of the prompt, is preferred.
  */
 
+import { addLoads, type EngineLoad } from '../engineLoad/index.ts'
+
 export interface GenerationCandidate {
   readonly id: string
   /** Prompt tokens that the endpoint has cached and does not have to prefill. */
   readonly cachedTokens: number
-  /** Prefill backlog there: prompt tokens of this router's requests that have no first token yet. */
+  /** Prefill backlog there: prompt tokens of this router's requests that the engine still has to read. */
   readonly pendingTokens: number
   /** Number of requests of this router that run there. */
   readonly running: number
   /** Tokens that requests of this router hold in the endpoint's memory. */
   readonly heldTokens: number
+  /** Load that the requests of all other routers put on it; `undefined` if it is not known. */
+  readonly others: EngineLoad | undefined
   /** Capacity of the endpoint's memory, in tokens. */
   readonly capacityTokens: number
   /** Failure share, see `EndpointHealth`. */
@@ -33,6 +37,8 @@
   readonly sharedTokens: number
   /** Endpoints that this request was already sent to. */
   readonly tried: ReadonlySet<string>
+  /** Uniform in [0, 1). */
+  readonly random: () => number
 }
 
 export interface GenerationPlacement {
@@ -47,8 +53,8 @@
 export const prefillTokensPerMs = 55
 /** Time that each running request adds to a step of the engine's batch. */
 const runningCostMs = 2
-/** Weight of this router's pending tokens. It is above 1 because other routers send requests there too. */
-const pendingWeight = 1.5
+/** Weight of this router's pending tokens while those of other routers are not known. It is above 1 because others send requests there too. */
+const lonePendingWeight = 1.5
 /** Probability that the home endpoint has cached the shared part although this router never sent it there. */
 const homeCachedProbability = 0.7
 const failurePenaltyMs = 600
@@ -64,12 +70,17 @@
   return Math.max(0, choice.promptTokens - Math.max(candidate.cachedTokens, expectedShared))
 }
 
+/** Difference in cost below which endpoints count as equal. Routers with the same view must not all choose the same one before they hear of each other's choice. */
+const equalCostMs = 6
+
 /** Estimated time to the first token at one endpoint, in ms. */
 export function estimateFirstTokenMs (choice: GenerationChoice, candidate: GenerationCandidate): number {
-  const prefillMs = (expectedReadTokens(choice, candidate) + candidate.pendingTokens * pendingWeight) / prefillTokensPerMs
-  const memoryShare = (candidate.heldTokens + choice.promptTokens) / candidate.capacityTokens
+  const { others } = candidate
+  const load = others === undefined ? { ...candidate, pendingTokens: candidate.pendingTokens * lonePendingWeight } : addLoads(candidate, others)
+  const prefillMs = (expectedReadTokens(choice, candidate) + load.pendingTokens) / prefillTokensPerMs
+  const memoryShare = (load.heldTokens + choice.promptTokens) / candidate.capacityTokens
   const memoryMs = memoryShare > memoryLimitShare ? memoryPenaltyMs * memoryShare : 0
-  return prefillMs + candidate.running * runningCostMs + memoryMs + candidate.excessMs
+  return prefillMs + load.running * runningCostMs + memoryMs + candidate.excessMs
 }
 
 /**
@@ -81,19 +92,33 @@
   return Math.max(0, choice.sharedTokens - candidate.cachedTokens) / prefillTokensPerMs * repeatedPrefillWeight
 }
 
-/** Returns the candidate with the lowest cost, or `undefined` if no candidate is untried. */
+interface Offer {
+  readonly candidate: GenerationCandidate
+  readonly estimateMs: number
+  readonly costMs: number
+}
+
+function offerOf (choice: GenerationChoice, candidate: GenerationCandidate): Offer {
+  const estimateMs = estimateFirstTokenMs(choice, candidate)
+  return { candidate, estimateMs, costMs: estimateMs + candidate.failureShare * failurePenaltyMs + repeatedPrefillCostMs(choice, candidate) }
+}
+
+/** The offer with the lowest cost, or one of those that are about as good if none of them has a part of the prompt. */
+function bestOf (choice: GenerationChoice, offers: readonly Offer[]): Offer | undefined {
+  const lowestMs = Math.min(...offers.map(({ costMs }) => costMs))
+  const best = offers.find(({ costMs }) => costMs === lowestMs)
+  if (best === undefined || best.candidate.id === choice.homeId || best.candidate.cachedTokens > 0) return best
+  const equal = offers.filter(({ candidate, costMs }) => costMs <= lowestMs + equalCostMs && candidate.id !== choice.homeId)
+  return equal[Math.floor(choice.random() * equal.length)]
+}
+
+/** Returns a candidate with the lowest cost, or `undefined` if no candidate is untried. */
 export function placeGeneration (choice: GenerationChoice): GenerationPlacement | undefined {
   const untried = choice.candidates.filter(candidate => !choice.tried.has(candidate.id))
   const preferred = untried.filter(candidate => !candidate.isAvoided)
   const group = preferred.length > 0 ? preferred : untried
-  let best: GenerationPlacement | undefined
-  let bestCost = Infinity
-  for (const candidate of group) {
-    const estimateMs = estimateFirstTokenMs(choice, candidate)
-    const cost = estimateMs + candidate.failureShare * failurePenaltyMs + repeatedPrefillCostMs(choice, candidate)
-    if (cost >= bestCost) continue
-    bestCost = cost
-    best = { id: candidate.id, estimateMs, readTokens: expectedReadTokens(choice, candidate) }
-  }
-  return best
+  const best = bestOf(choice, group.map(candidate => offerOf(choice, candidate)))
+  if (best === undefined) return undefined
+  const { candidate, estimateMs } = best
+  return { id: candidate.id, estimateMs, readTokens: expectedReadTokens(choice, candidate) }
 }
