--- a/packages/gateway/src/node/__tests__/routerDirectory.test.ts
+++ b/packages/gateway/src/node/__tests__/routerDirectory.test.ts
@@ -44,7 +44,7 @@
   })
 
   function directoryOf (nodeName: string, settlesSoon = false): RouterDirectory {
-    return new RouterDirectory({ store: fake.store, timers, log: silentLog, nodeName, address: `${nodeName}:1`, random: () => 0.5, settlesSoon })
+    return new RouterDirectory({ store: fake.store, timers, log: silentLog, nodeName, address: `${nodeName}:1`, processorCores: undefined, random: () => 0.5, settlesSoon })
   }
 
   /** Lets time pass in steps, so that calls to the store finish between them. */
--- a/packages/gateway/src/node/gatewayMetrics.ts
+++ b/packages/gateway/src/node/gatewayMetrics.ts
@@ -30,6 +30,8 @@
   loopDelayMs (): number
   /** Time since the last response of the store. */
   storeAgeMs (): number
+  /** Age of the engine loads that other routers told; `Infinity` without any. */
+  sharedLoadAgeMs (): number
   droppedLogLines (): number
   /** Failure domains that operators have evacuated. */
   evacuatedDomains (): number
@@ -41,6 +43,7 @@
   openRequests: zero,
   resourceUse: () => ({ link: 0, processor: 0, processorWaitMs: 0 }),
   loopDelayMs: zero,
+  sharedLoadAgeMs: () => Infinity,
   storeAgeMs: zero,
   droppedLogLines: zero,
   evacuatedDomains: zero
@@ -69,6 +72,7 @@
   gauge('processor_wait_ms', 'mean time for which requests wait until the processor takes them up, in ms', () => sources.resourceUse().processorWaitMs)
   gauge('event_loop_delay_ms', 'how late the event loop is, in ms', sources.loopDelayMs)
   gauge('store_age_ms', 'time since the store last answered, in ms', sources.storeAgeMs)
+  gauge('shared_load_age_ms', 'age of the engine loads that other routers told, in ms; +Inf without any', sources.sharedLoadAgeMs)
   gauge('dropped_log_lines', 'log lines dropped since the last line that said so', sources.droppedLogLines)
   gauge('evacuated_failure_domains', 'failure domains whose endpoints get no new requests', sources.evacuatedDomains)
   gauge('resident_memory_mb', 'resident memory in MB', () => process.memoryUsage.rss() / bytesPerMb)
--- a/packages/gateway/src/node/startGateway.ts
+++ b/packages/gateway/src/node/startGateway.ts
@@ -18,10 +18,12 @@
 import { GatewayState } from './gatewayState.ts'
 import { LoadMeter } from './loadMeter.ts'
 import { createLimitClient } from './limitClient.ts'
+import { createLoadClient } from './loadClient.ts'
 import { createLoanClient } from './loanClient.ts'
 import { createOutcomeClient } from './outcomeClient.ts'
 import { createPeerServer } from './peerServer.ts'
 import { Rollouts } from './rollouts.ts'
+import { SharedEngineLoads } from './sharedEngineLoads.ts'
 import { RouterDirectory } from './routerDirectory.ts'
 import { LoopDelay } from './loopDelay.ts'
 import { meteredStore } from './meteredStore.ts'
@@ -84,6 +86,7 @@
     resourceUse: () => guard.use,
     loopDelayMs: () => loopDelay.delayMs,
     storeAgeMs: () => store.responseAgeMs(),
+    sharedLoadAgeMs: () => engineLoads.ageMs(),
     droppedLogLines: options.droppedLogLines,
     evacuatedDomains: () => state.evacuations.size
   })
@@ -93,7 +96,8 @@
     readClock: () => ({ node: deployment.nodeName, wallMs: timers.nowMs() }),
     storeContact: () => ledger.storeContact(),
     receiveOutcomes: report => state.rollouts.receiveReport(report),
-    receiveLimit: message => state.receiveLimit(message)
+    receiveLimit: message => state.receiveLimit(message),
+    receiveLoad: message => engineLoads.receive(message)
   })
   const loanClient = createLoanClient()
   const { peers } = deployment
@@ -122,13 +126,15 @@
     hasEndpoint: (service, version) => state.directory.ready(service).some(endpoint => endpoint.version === version)
   })
   const hasher = await createHasher()
-  const routers = new RouterDirectory({ store, timers, log, nodeName: deployment.nodeName, address: loans?.address, random, settlesSoon: deployment.coldBound !== undefined })
+  const routers = new RouterDirectory({ store, timers, log, nodeName: deployment.nodeName, address: loans?.address, processorCores: deployment.processorCores, random, settlesSoon: deployment.coldBound !== undefined })
   function otherAddresses (): readonly string[] {
     return (routers.routers ?? []).flatMap(({ id, address }) => id === deployment.nodeName || address === undefined ? [] : [address])
   }
   const limitClient = createLimitClient()
   const limits = new EndpointLimits({ clock, timers, log, hasher, nodeName: deployment.nodeName, routers, client: limitClient, endpoints: () => state.endpoints.all(), coldStateOf: entry => state.coldStateOf(entry) })
-  const state: GatewayState = new GatewayState({ deployment, dialect, clock, log, metrics, ledger, crashes, guard, load, rollouts, limits, hasher, random })
+  const loadClient = createLoadClient()
+  const engineLoads = new SharedEngineLoads({ timers, log, hasher, nodeName: deployment.nodeName, routers, client: loadClient, ownLoads: nowMs => state.endpoints.engineLoads(nowMs) })
+  const state: GatewayState = new GatewayState({ deployment, dialect, clock, log, metrics, ledger, crashes, guard, load, rollouts, limits, engineLoads, hasher, random })
   const callers = new CallerServer(state)
   const loopDelay = new LoopDelay({ timers, log, openRequests: () => state.openRequests })
   const followers = followFleet({
@@ -168,6 +174,7 @@
     void loanClient.close()
     void outcomeClient.close()
     void limitClient.close()
+    void loadClient.close()
     callers.resetUnfinished()
     for (const server of servers) {
       server.close()
@@ -205,6 +212,7 @@
       followers.stop()
       rollouts.stop()
       limits.stop()
+      engineLoads.stop()
       routers.stop()
       crashes.stop()
       loopDelay.stop()
@@ -218,6 +226,7 @@
       followers.stop()
       rollouts.stop()
       limits.stop()
+      engineLoads.stop()
       routers.stop()
       crashes.stop()
       loopDelay.stop()
