--- a/packages/gateway/src/node/__tests__/sharedEngineLoads.test.ts
+++ b/packages/gateway/src/node/__tests__/sharedEngineLoads.test.ts
@@ -1,8 +1,11 @@
 import { beforeEach, describe, expect, it } from 'vitest'
 import { createHasher, rankAggregators, type EngineLoad } from '@buckthorndrift/policy'
 import { ManualTimers, silentLog } from '@buckthorndrift/kernel'
-import { loadMessageSchema, loadReplySchema } from '../../shared/loadMessages.ts'
-import type { LoadExchange } from '../loadClient.ts'
+import { createServer } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { loadMessageSchema, loadReplySchema, type LoadMessage } from '../../shared/loadMessages.ts'
+import { createLoadClient, type LoadExchange } from '../loadClient.ts'
+import { createPeerServer, type PeerServerOptions } from '../peerServer.ts'
 import { SharedEngineLoads } from '../sharedEngineLoads.ts'
 
 const hasher = await createHasher()
@@ -95,4 +98,22 @@
     }
     expect(loadReplySchema.safeParse({ ageMs: -1, routers: 1, loads: {} }).success).toBe(false)
   })
+
+  it('get an answer from a peer server, a failure for what cannot be read, and from a server that does not know them', async () => {
+    const server = createPeerServer({ receiveLoad: ({ from }: LoadMessage) => ({ ageMs: from === 'a' ? 0 : -1, routers: 15, loads: { e1: [1, 2, 3] } }) } as unknown as PeerServerOptions)
+    const older = createServer((_, response) => { response.writeHead(404, { 'Content-Length': 0 }).end() })
+    const client = createLoadClient()
+    const [address, olderAddress] = await Promise.all([server, older].map(async each => {
+      await new Promise<void>(resolve => { each.listen(0, '127.0.0.1', resolve) })
+      return `127.0.0.1:${(each.address() as AddressInfo).port}`
+    }))
+    expect(await client.exchange(address!, { from: 'a', loads: {} })).toEqual({ kind: 'known', reply: { ageMs: 0, routers: 15, loads: { e1: [1, 2, 3] } } })
+    const failures = [client.exchange(address!, { from: 'a', loads: { e1: [-1, 0, 0] } }), client.exchange(address!, { from: 'b', loads: {} }), client.exchange(olderAddress!, { from: 'a', loads: {} })]
+    expect((await Promise.all(failures)).map(({ kind }) => kind)).toEqual(['failed', 'failed', 'failed'])
+    await client.close()
+    for (const each of [server, older]) {
+      each.closeAllConnections()
+      each.close()
+    }
+  })
 })
--- a/packages/gateway/src/node/callRun.ts
+++ b/packages/gateway/src/node/callRun.ts
@@ -94,13 +94,13 @@
   }
 
   #send (placement: Placement): void {
-    const { endpoint, estimateMs, uncachedTokens } = placement
+    const { endpoint, estimateMs, uncachedTokens, backlogTokens } = placement
     this.#placement = placement
     const { attributes, service, route } = this.#input
     this.#responseHead = undefined
     this.#eventSplitter.beginAttempt()
     this.#history.recordSent(endpoint.entry.id)
-    this.#endpointAttempt = new EndpointAttempt(endpoint, { generation: attributes.generation, uncachedTokens, estimateMs, nowMs: this.#state.clock.nowMs(), onObservation: observation => { this.#state.rollouts.record(endpoint.entry, route.name, observation) } })
+    this.#endpointAttempt = new EndpointAttempt(endpoint, { generation: attributes.generation, uncachedTokens, backlogTokens, estimateMs, nowMs: this.#state.clock.nowMs(), onObservation: observation => { this.#state.rollouts.record(endpoint.entry, route.name, observation) } })
     this.#startAttemptTimer(route, estimateMs)
     this.#state.metrics.attempts.inc({ service: service.name })
     if (endpoint.limit.requestsPerSecond !== undefined) this.#state.metrics.limitedAttempts.inc({ service: service.name })
--- a/packages/gateway/src/node/endpointAttempt.ts
+++ b/packages/gateway/src/node/endpointAttempt.ts
@@ -1,5 +1,5 @@
 /** Accounting of one attempt: the load that it adds to the endpoint, and the latency samples that it yields. */
-import { prefillTokensPerMs, type Observation } from '@buckthorndrift/policy'
+import type { Observation } from '@buckthorndrift/policy'
 import type { Generation } from '../shared/call.ts'
 import type { TrackedEndpoint } from './trackedEndpoints.ts'
 
@@ -7,6 +7,8 @@
   readonly generation: Generation | undefined
   /** Prompt tokens that the endpoint is not expected to have in its prefix cache. */
   readonly uncachedTokens: number
+  /** Tokens that the engine had to read before, of all routers; `undefined` if they are not known. */
+  readonly backlogTokens?: number | undefined
   /** Expected time to the first token in ms. */
   readonly estimateMs: number
   readonly nowMs: number
@@ -32,6 +34,7 @@
   readonly estimateMs: number
   readonly #generation: Generation | undefined
   readonly #uncachedTokens: number
+  readonly #backlogTokens: number | undefined
   #pendingTokens: number
   #firstByteMs: number | undefined
   readonly #onObservation: EndpointAttemptOptions['onObservation']
@@ -46,12 +49,13 @@
     this.estimateMs = options.estimateMs
     this.#generation = options.generation
     this.#uncachedTokens = options.uncachedTokens
+    this.#backlogTokens = options.backlogTokens
     this.#onObservation = options.onObservation
     this.#pendingTokens = options.uncachedTokens
     endpoint.running++
     endpoint.lastSentMs = options.nowMs
     endpoint.heldTokens += heldTokensOf(options.generation)
-    if (options.generation !== undefined) endpoint.backlog.add(options.uncachedTokens, prefillTokensPerMs, options.nowMs)
+    if (options.generation !== undefined) endpoint.backlog.add(options.uncachedTokens, endpoint.prefillSpeed.tokensPerMs, options.nowMs)
   }
 
   /** Records the first byte of the response. By then the engine has read the prompt. */
@@ -62,6 +66,7 @@
     if (this.#generation === undefined) return
     this.#onObservation({ kind: 'latency', durationMs: nowMs - this.sentMs })
     if (this.#uncachedTokens <= maxSampledPromptTokens) this.endpoint.recordExcessMs(nowMs - this.sentMs - this.estimateMs, nowMs)
+    this.endpoint.prefillSpeed.record({ readTokens: this.#uncachedTokens, backlogTokens: this.#backlogTokens, firstTokenMs: nowMs - this.sentMs })
     this.endpoint.prefixes.recordUse(this.#generation.prompt, nowMs)
   }
 
@@ -103,7 +108,7 @@
   }
 
   #clearPending (nowMs: number): void {
-    this.endpoint.backlog.remove(this.#pendingTokens, prefillTokensPerMs, nowMs)
+    this.endpoint.backlog.remove(this.#pendingTokens, this.endpoint.prefillSpeed.tokensPerMs, nowMs)
     this.#pendingTokens = 0
   }
 }
--- a/packages/gateway/src/node/gatewayState.ts
+++ b/packages/gateway/src/node/gatewayState.ts
@@ -1,6 +1,6 @@
 /** State that all requests of a gateway share: its view of the fleet, and the routing decisions that depend on it. */
 import type { Log } from '@buckthorndrift/kernel'
-import { canEndBeforeStop, placeCall, placeGeneration, prefillTokensPerMs, rankByRendezvous, RecentDurations, standingOf, type FailureReason, type Hasher, type OverloadGuard } from '@buckthorndrift/policy'
+import { canEndBeforeStop, placeCall, placeGeneration, rankByRendezvous, RecentDurations, standingOf, type FailureReason, type Hasher, type OverloadGuard } from '@buckthorndrift/policy'
 import { isRepeatable } from '../shared/attemptRules.ts'
 import type { Deployment } from '../shared/deployment.ts'
 import type { ResponseAttributes } from '../shared/call.ts'
@@ -32,6 +32,8 @@
   readonly prefillMs: number
   /** Prompt tokens that the endpoint is not expected to have in its prefix cache. */
   readonly uncachedTokens: number
+  /** Tokens that the engine has to read before them; `undefined` if only those of this router are known. */
+  readonly backlogTokens: number | undefined
   /** Whether this is the endpoint that rendezvous hashing assigns to the shared part of the prompt, which is the same at all routers. */
   readonly isHome: boolean
 }
@@ -275,24 +277,25 @@
     const candidates = endpoints.map(entry => this.endpoints.getOrCreate(entry, nowMs).callCandidate(this.deployment.failureDomain, nowMs))
     const id = placeCall(candidates, tried, this.#random)
     const endpoint = id === undefined ? undefined : this.endpoints.get(id)
-    return endpoint === undefined ? undefined : { endpoint, placedMs: nowMs, estimateMs: 0, prefillMs: 0, uncachedTokens: 0, isHome: false }
+    return endpoint === undefined ? undefined : { endpoint, placedMs: nowMs, estimateMs: 0, prefillMs: 0, uncachedTokens: 0, backlogTokens: undefined, isHome: false }
   }
 
   #placeGeneration (input: CallInput, endpoints: readonly EndpointEntry[], tried: ReadonlySet<string>, nowMs: number): Placement | undefined {
     const { prompt, promptTokens } = input.attributes.generation!
     const capacityTokens = input.service.engine!.kvTokens
+    const { tokensPerMs } = this.endpoints.prefillSpeedOf(input.service.name)
     // The last part of a prompt is unique to its request.
     const shared = prompt.slice(0, -1)
     const key = shared.at(-1)?.id
-    const homeId = key === undefined ? undefined : rankByRendezvous(this.#hasher, key, endpoints)[0]?.id
-    const candidates = endpoints.map(entry => this.endpoints.getOrCreate(entry, nowMs).generationCandidate(prompt, capacityTokens, this.engineLoads.othersAt(entry.id, prefillTokensPerMs), nowMs))
+    const [homeId, secondHomeId] = key === undefined ? [] : rankByRendezvous(this.#hasher, key, endpoints).map(({ id }) => id)
+    const candidates = endpoints.map(entry => this.endpoints.getOrCreate(entry, nowMs).generationCandidate(prompt, capacityTokens, this.engineLoads.othersAt(entry.id, tokensPerMs), nowMs))
     const sharedTokens = shared.reduce((sum, part) => sum + part.tokens, 0)
-    const placementInput = { candidates, promptTokens, homeId, sharedTokens, tried, random: this.#random }
+    const placementInput = { candidates, promptTokens, homeId, secondHomeId, sharedTokens, tried, objectiveMs: input.route.objectiveMs, tokensPerMs, random: this.#random }
     const choice = placeGeneration(placementInput)
     const endpoint = choice === undefined ? undefined : this.endpoints.get(choice.id)
     if (choice === undefined || endpoint === undefined) return undefined
-    const { estimateMs, readTokens } = choice
-    return { endpoint, placedMs: nowMs, estimateMs, prefillMs: readTokens / prefillTokensPerMs, uncachedTokens: readTokens, isHome: choice.id === homeId }
+    const { estimateMs, readTokens, backlogTokens } = choice
+    return { endpoint, placedMs: nowMs, estimateMs, prefillMs: readTokens / tokensPerMs, uncachedTokens: readTokens, backlogTokens, isHome: choice.id === homeId }
   }
 
   /** Records a finished request in the log and the metrics. */
--- a/packages/gateway/src/node/trackedEndpoints.ts
+++ b/packages/gateway/src/node/trackedEndpoints.ts
@@ -1,6 +1,6 @@
 /** Local state of each endpoint: its connections, and the load, health and latency that this router has observed with its own requests. */
 import type { Socket } from 'node:net'
-import { EndpointHealth, KnownLimit, PrefillBacklog, PrefixHistory, prefillTokensPerMs, type CallCandidate, type EngineLoad, type GenerationCandidate, type PrefixPart } from '@buckthorndrift/policy'
+import { EndpointHealth, KnownLimit, PrefillBacklog, PrefillSpeed, PrefixHistory, type CallCandidate, type EngineLoad, type GenerationCandidate, type PrefixPart } from '@buckthorndrift/policy'
 import type { EndpointEntry } from '../shared/fleet.ts'
 import { EndpointConnections } from './endpointConnections.ts'
 
@@ -26,6 +26,8 @@
   running = 0
   /** Prompt tokens of this router's requests that the engine still has to read. */
   readonly backlog = new PrefillBacklog()
+  /** Prefill speed of the engines of the service. */
+  readonly prefillSpeed: PrefillSpeed
   /** Estimated tokens that the requests in flight hold in the memory of the engine. */
   heldTokens = 0
   /** Until this time the endpoint asked to get no requests. */
@@ -34,8 +36,9 @@
   #excessMs = 0
   #excessUpdatedMs: number
 
-  constructor (entry: EndpointEntry, nowMs: number, onSocket: (socket: Socket) => void) {
+  constructor (entry: EndpointEntry, nowMs: number, onSocket: (socket: Socket) => void, prefillSpeed = new PrefillSpeed()) {
     this.entry = entry
+    this.prefillSpeed = prefillSpeed
     this.connections = new EndpointConnections(entry.address, onSocket)
     this.health = new EndpointHealth(nowMs)
     this.#excessUpdatedMs = nowMs
@@ -70,7 +73,7 @@
 
   /** Load that the requests of this router put on the endpoint's engine. */
   engineLoad (nowMs: number): EngineLoad {
-    return { pendingTokens: this.backlog.tokens(prefillTokensPerMs, nowMs), running: this.running, heldTokens: this.heldTokens }
+    return { pendingTokens: this.backlog.tokens(this.prefillSpeed.tokensPerMs, nowMs), running: this.running, heldTokens: this.heldTokens }
   }
 
   /** `others` is the load of the other routers; `undefined` if it is not known. */
@@ -91,6 +94,8 @@
 
 export class TrackedEndpoints {
   readonly #endpoints = new Map<string, TrackedEndpoint>()
+  /** By service. */
+  readonly #prefillSpeeds = new Map<string, PrefillSpeed>()
   readonly #onSocket: (socket: Socket) => void
 
   /** `onSocket` is called with each socket that is opened to an endpoint. */
@@ -103,11 +108,18 @@
     const known = this.#endpoints.get(entry.id)
     if (known !== undefined && known.entry.address === entry.address && known.entry.startedAtMs === entry.startedAtMs) return known
     known?.connections.destroy()
-    const endpoint = new TrackedEndpoint(entry, nowMs, this.#onSocket)
+    const endpoint = new TrackedEndpoint(entry, nowMs, this.#onSocket, this.prefillSpeedOf(entry.service))
     this.#endpoints.set(entry.id, endpoint)
     return endpoint
   }
 
+  /** Speed at which engines of a service read prompts. */
+  prefillSpeedOf (service: string): PrefillSpeed {
+    let speed = this.#prefillSpeeds.get(service)
+    if (speed === undefined) this.#prefillSpeeds.set(service, speed = new PrefillSpeed())
+    return speed
+  }
+
   all (): Iterable<TrackedEndpoint> {
     return this.#endpoints.values()
   }
--- a/packages/policy/src/shared/engineLoad/__tests__/mixedLoad.test.ts
+++ b/packages/policy/src/shared/engineLoad/__tests__/mixedLoad.test.ts
@@ -59,7 +59,7 @@
       others: isShared ? router.shared.at(id, tokensPerMs, nowMs) : undefined
     }))
     const homeId = engineIds[Math.floor(random() * engineIds.length)]!
-    const { id } = placeGeneration({ candidates, promptTokens: tokens, homeId, sharedTokens: tokens * 0.1, tried: new Set(), random })!
+    const { id } = placeGeneration({ candidates, promptTokens: tokens, homeId, secondHomeId: undefined, sharedTokens: tokens * 0.1, tried: new Set(), objectiveMs: objectiveMs[size], tokensPerMs, random })!
     const standing = standingOf({ prefillMs: tokens / tokensPerMs, objectiveMs: objectiveMs[size], timeoutMs, waitedMs: 0 })
     router.backlogs.get(id)!.add(tokens, tokensPerMs, nowMs)
     if (tokens >= longPromptTokens) exchange(router, nowMs)
--- a/packages/policy/src/shared/placement/__tests__/placement.test.ts
+++ b/packages/policy/src/shared/placement/__tests__/placement.test.ts
@@ -1,12 +1,12 @@
 import { describe, expect, it } from 'vitest'
-import { EndpointHealth, placeCall, placeGeneration, PrefixHistory, type CallCandidate, type GenerationCandidate, type GenerationChoice } from '../index.ts'
+import { EndpointHealth, placeCall, placeGeneration, PrefillSpeed, PrefixHistory, type CallCandidate, type GenerationCandidate, type GenerationChoice } from '../index.ts'
 
 const idle: GenerationCandidate = {
   id: 'a', cachedTokens: 0, pendingTokens: 0, running: 0, heldTokens: 0, others: undefined, capacityTokens: 500_000, failureShare: 0, isAvoided: false, excessMs: 0
 }
 
 function choiceOf (candidates: readonly GenerationCandidate[], changes: Partial<GenerationChoice> = {}): GenerationChoice {
-  return { candidates, promptTokens: 6000, homeId: 'b', sharedTokens: 5000, tried: new Set(), random: () => 0, ...changes }
+  return { candidates, promptTokens: 6000, homeId: 'b', secondHomeId: undefined, sharedTokens: 5000, tried: new Set(), objectiveMs: 1000, tokensPerMs: 55, random: () => 0, ...changes }
 }
 
 describe('placeGeneration', () => {
@@ -22,6 +22,30 @@
     expect(placeGeneration(choiceOf([idle, { ...idle, id: 'b', pendingTokens: 4000 }]))?.id).toBe('b')
   })
 
+  it('leaves the home endpoint for the second one, unless another is better', () => {
+    const away = [idle, { ...idle, id: 'b', pendingTokens: 60_000 }, { ...idle, id: 'c' }]
+    expect(placeGeneration(choiceOf(away, { secondHomeId: 'c' }))?.id).toBe('c')
+    expect(placeGeneration(choiceOf([away[0]!, away[1]!, { ...idle, id: 'c', pendingTokens: 3000 }], { secondHomeId: 'c' }))?.id).toBe('a')
+  })
+
+  it('chooses at random from endpoints that are about as good, so that routers with the same view spread', () => {
+    const equal = [idle, { ...idle, id: 'c', running: 1 }, { ...idle, id: 'd', pendingTokens: 3000 }]
+    expect(placeGeneration(choiceOf(equal, { random: () => 0.9 }))?.id).toBe('c')
+    expect(placeGeneration(choiceOf(equal, { random: () => 0 }))?.id).toBe('a')
+  })
+
+  it('counts the load of other routers', () => {
+    const busy = { ...idle, id: 'b', others: { pendingTokens: 60_000, running: 3, heldTokens: 0 } }
+    expect(placeGeneration(choiceOf([{ ...idle, others: { pendingTokens: 0, running: 0, heldTokens: 0 } }, busy]))).toMatchObject({ id: 'a', backlogTokens: 0 })
+  })
+
+  it('leaves the home endpoint when the first token would come late there, at a backlog that is else no reason', () => {
+    const others = { pendingTokens: 15_000, running: 0, heldTokens: 0 }
+    const candidates = [{ ...idle, others: { ...others, pendingTokens: 0 } }, { ...idle, id: 'b', others }]
+    expect(placeGeneration(choiceOf(candidates, { objectiveMs: 2000 }))?.id).toBe('b')
+    expect(placeGeneration(choiceOf(candidates, { objectiveMs: 350 }))?.id).toBe('a')
+  })
+
   it('prefers an endpoint that has the shared parts cached', () => {
     expect(placeGeneration(choiceOf([{ ...idle, cachedTokens: 5000 }, { ...idle, id: 'b' }], { homeId: 'c' }))?.id).toBe('a')
   })
@@ -98,3 +122,28 @@
     expect(history.cachedTokens(parts, 60_000)).toBe(0)
   })
 })
+
+describe('PrefillSpeed', () => {
+  const speed = (samples: readonly { readTokens: number, backlogTokens: number | undefined, firstTokenMs: number }[], count: number): number => {
+    const learned = new PrefillSpeed()
+    for (let index = 0; index < count; index++) learned.record(samples[index % samples.length]!)
+    return learned.tokensPerMs
+  }
+
+  it('learns the speed from long prompts at idle engines', () => {
+    expect(speed([{ readTokens: 8400, backlogTokens: 0, firstTokenMs: 80 }], 40)).toBeCloseTo(140, -1.5)
+  })
+
+  it('is not misled by some prompts that waited', () => {
+    const idleSample = { readTokens: 8400, backlogTokens: 0, firstTokenMs: 80 }
+    expect(speed([idleSample, { ...idleSample, firstTokenMs: 2000 }, idleSample], 90)).toBeGreaterThan(110)
+  })
+
+  it('takes no sample from short prompts, busy engines or without the load of the others, and stays within bounds', () => {
+    const sample = { readTokens: 8400, backlogTokens: 0, firstTokenMs: 80 }
+    const initial = new PrefillSpeed().tokensPerMs
+    for (const ignored of [{ ...sample, readTokens: 1000 }, { ...sample, backlogTokens: 3000 }, { ...sample, backlogTokens: undefined }]) expect(speed([ignored], 20)).toBe(initial)
+    expect(speed([{ ...sample, firstTokenMs: 0 }], 200)).toBe(500)
+    expect(speed([{ ...sample, firstTokenMs: 60_000 }], 200)).toBe(10)
+  })
+})
--- a/packages/policy/src/shared/placement/index.ts
+++ b/packages/policy/src/shared/placement/index.ts
@@ -1,5 +1,6 @@
 export { EngineRanks, standingOf, type PromptStanding, type RequestPriority, type StandingInput } from './engineRanks.ts'
 export { EndpointHealth } from './endpointHealth.ts'
+export { initialTokensPerMs, PrefillSpeed, type PrefillSample } from './prefillSpeed.ts'
 export { PrefixHistory, type PrefixPart } from './prefixHistory.ts'
-export { estimateFirstTokenMs, placeGeneration, prefillTokensPerMs, type GenerationCandidate, type GenerationChoice, type GenerationPlacement } from './placeGeneration.ts'
+export { estimateFirstTokenMs, placeGeneration, type GenerationCandidate, type GenerationChoice, type GenerationPlacement } from './placeGeneration.ts'
 export { placeCall, type CallCandidate } from './placeCall.ts'
--- a/packages/policy/src/shared/placement/placeGeneration.ts
+++ b/packages/policy/src/shared/placement/placeGeneration.ts
@@ -33,10 +33,16 @@
   readonly promptTokens: number
   /** Home endpoint: the one that every router prefers for the shared part of this prompt. */
   readonly homeId: string | undefined
+  /** The endpoint that every router prefers when it leaves the home endpoint for one of several that are about as good, so that the shared part is read again at few. */
+  readonly secondHomeId: string | undefined
   /** Tokens of the prompt parts that other requests may share. */
   readonly sharedTokens: number
   /** Endpoints that this request was already sent to. */
   readonly tried: ReadonlySet<string>
+  /** Time to the first token that the route aims at. */
+  readonly objectiveMs: number
+  /** Prompt tokens that an engine of the service reads in a millisecond. */
+  readonly tokensPerMs: number
   /** Uniform in [0, 1). */
   readonly random: () => number
 }
@@ -47,10 +53,10 @@
   readonly estimateMs: number
   /** Prompt tokens that the endpoint probably has to read. */
   readonly readTokens: number
+  /** Tokens that the engine has to read before them; `undefined` if only those of this router are known. */
+  readonly backlogTokens: number | undefined
 }
 
-/** Prefill speed of an engine. It only has to be accurate enough to compare endpoints. */
-export const prefillTokensPerMs = 55
 /** Time that each running request adds to a step of the engine's batch. */
 const runningCostMs = 2
 /** Weight of this router's pending tokens while those of other routers are not known. It is above 1 because others send requests there too. */
@@ -60,6 +66,10 @@
 const failurePenaltyMs = 600
 /** Weight of the time for a repeated prefill of shared parts. */
 const repeatedPrefillWeight = 4
+/** Part of the objective up to which an estimated first token is early enough. */
+const safeObjectiveShare = 0.6
+/** Weight of the estimated time beyond that part. */
+const lateWeight = 3
 /** Memory use above which an engine starts to preempt requests. */
 const memoryLimitShare = 0.6
 const memoryPenaltyMs = 500
@@ -77,7 +87,7 @@
 export function estimateFirstTokenMs (choice: GenerationChoice, candidate: GenerationCandidate): number {
   const { others } = candidate
   const load = others === undefined ? { ...candidate, pendingTokens: candidate.pendingTokens * lonePendingWeight } : addLoads(candidate, others)
-  const prefillMs = (expectedReadTokens(choice, candidate) + load.pendingTokens) / prefillTokensPerMs
+  const prefillMs = (expectedReadTokens(choice, candidate) + load.pendingTokens) / choice.tokensPerMs
   const memoryShare = (load.heldTokens + choice.promptTokens) / candidate.capacityTokens
   const memoryMs = memoryShare > memoryLimitShare ? memoryPenaltyMs * memoryShare : 0
   return prefillMs + load.running * runningCostMs + memoryMs + candidate.excessMs
@@ -89,7 +99,7 @@
  */
 function repeatedPrefillCostMs (choice: GenerationChoice, candidate: GenerationCandidate): number {
   if (candidate.id === choice.homeId) return 0
-  return Math.max(0, choice.sharedTokens - candidate.cachedTokens) / prefillTokensPerMs * repeatedPrefillWeight
+  return Math.max(0, choice.sharedTokens - candidate.cachedTokens) / choice.tokensPerMs * repeatedPrefillWeight
 }
 
 interface Offer {
@@ -100,7 +110,13 @@
 
 function offerOf (choice: GenerationChoice, candidate: GenerationCandidate): Offer {
   const estimateMs = estimateFirstTokenMs(choice, candidate)
-  return { candidate, estimateMs, costMs: estimateMs + candidate.failureShare * failurePenaltyMs + repeatedPrefillCostMs(choice, candidate) }
+  return { candidate, estimateMs, costMs: estimateMs + candidate.failureShare * failurePenaltyMs + repeatedPrefillCostMs(choice, candidate) + lateCostMs(choice, candidate, estimateMs) }
+}
+
+/** Cost of an answer that is likely to come after the objective. An estimate is low where the engine is slow, so it counts from a part of the objective on. */
+function lateCostMs (choice: GenerationChoice, candidate: GenerationCandidate, estimateMs: number): number {
+  if (candidate.others === undefined) return 0
+  return Math.max(0, estimateMs - choice.objectiveMs * safeObjectiveShare) * lateWeight
 }
 
 /** The offer with the lowest cost, or one of those that are about as good if none of them has a part of the prompt. */
@@ -109,7 +125,7 @@
   const best = offers.find(({ costMs }) => costMs === lowestMs)
   if (best === undefined || best.candidate.id === choice.homeId || best.candidate.cachedTokens > 0) return best
   const equal = offers.filter(({ candidate, costMs }) => costMs <= lowestMs + equalCostMs && candidate.id !== choice.homeId)
-  return equal[Math.floor(choice.random() * equal.length)]
+  return equal.find(({ candidate }) => candidate.id === choice.secondHomeId) ?? equal[Math.floor(choice.random() * equal.length)]
 }
 
 /** Returns a candidate with the lowest cost, or `undefined` if no candidate is untried. */
@@ -120,5 +136,6 @@
   const best = bestOf(choice, group.map(candidate => offerOf(choice, candidate)))
   if (best === undefined) return undefined
   const { candidate, estimateMs } = best
-  return { id: candidate.id, estimateMs, readTokens: expectedReadTokens(choice, candidate) }
+  const { pendingTokens, others } = candidate
+  return { id: candidate.id, estimateMs, readTokens: expectedReadTokens(choice, candidate), backlogTokens: others === undefined ? undefined : pendingTokens + others.pendingTokens }
 }
