Take endpoints for cold when their evacuation ends

Cause: endpoints may have become cold shortly before their failure domain is taken back. Routers learn of the end at once, but of the cold state only with the next entry, and all endpoints of the domain look idle to all of them.

Change: from the end of an evacuation until an entry can have arrived (one heartbeat and the delay of the watch) its endpoints count as cold, where their service names a pace.

--- a/packages/gateway/src/node/followFleet.ts
+++ b/packages/gateway/src/node/followFleet.ts
@@ -27,6 +27,8 @@
 /** Pause between two watch calls, in which the evidence of a crash from several routers is collected. */
 const crashBatchMs = 300
 const expiryCheckIntervalMs = 100
+/** Time after a heartbeat by which routers have read the entry, with a margin. */
+const entryDelayMs = 2 * endpointBatchMs
 /** Times after a restore of the store at which the endpoints are listed again: when live endpoints have written their entries again, and when the entries of the others have expired. */
 const relistDelaysMs: readonly number[] = [2500, 6000]
 /** Time after a restore of the store after which an order that is missing from a list was taken back, and not lost. */
@@ -147,7 +149,18 @@
     onContact: (isInContact, detail) => { onContactChange('crashes', isInContact, detail) }
   }
 
+  /** Endpoints may have become cold shortly before their failure domain is taken back, and the entries that say so are on their way. Those of services that name no pace are never cold. */
+  function presumeCold (failureDomain: string): void {
+    if (state.deployment.coldBound === undefined) return
+    const untilMs = state.clock.nowMs() + state.deployment.heartbeatMs + entryDelayMs
+    for (const { id, service, failureDomain: own } of state.directory.all()) {
+      const pace = state.routeTable?.service(service)?.coldRequestsPerSecond ?? 0
+      if (own === failureDomain && pace > 0) state.coldEndpoints.presume(id, untilMs)
+    }
+  }
+
   function onEvacuation (failureDomain: string, isEvacuated: boolean): void {
+    if (!isEvacuated) presumeCold(failureDomain)
     state.directory.applyEvacuations()
     log.event('evacuationChanged', { failureDomain, isEvacuated, evacuated: state.evacuations.size })
   }
--- a/packages/gateway/src/shared/deployment.ts
+++ b/packages/gateway/src/shared/deployment.ts
@@ -35,6 +35,8 @@
   readonly hasEvacuations: boolean
   /** Requests that a cold endpoint may get in one second: `overrun` times the pace that its service names, and `slack`. `undefined` in a deployment without such a bound. */
   readonly coldBound: { readonly overrun: number, readonly slack: number } | undefined
+  /** Interval at which endpoints write their entries, in ms. */
+  readonly heartbeatMs: number
   /** Rate of the network link of the VM in Mbit/s; `undefined` when it is not known. */
   readonly linkMbps: number | undefined
   /** Processor share of the process in cores; `undefined` when it is not known. */
--- a/packages/policy/src/shared/places/__tests__/coldEndpoints.test.ts
+++ b/packages/policy/src/shared/places/__tests__/coldEndpoints.test.ts
@@ -24,6 +24,16 @@
     expect(cold.untilMs('e')).toBe(3000)
   })
 
+  it('may be presumed until an entry can have arrived, which does not shorten what an entry says', () => {
+    const cold = new ColdEndpoints()
+    cold.presume('e', 1800)
+    expect(cold.untilMs('e')).toBe(1800)
+    cold.record(report, 1000)
+    expect(cold.untilMs('e')).toBe(3000)
+    cold.forget('e')
+    expect(cold.untilMs('e')).toBe(-Infinity)
+  })
+
   it('begins anew with each incarnation', () => {
     const cold = new ColdEndpoints()
     cold.record(report, 1000)
--- a/packages/policy/src/shared/places/coldEndpoints.ts
+++ b/packages/policy/src/shared/places/coldEndpoints.ts
@@ -24,6 +24,8 @@
 
 export class ColdEndpoints {
   readonly #states = new Map<string, ColdState>()
+  /** Time until which endpoints may be cold without an entry that says so. */
+  readonly #presumedUntilMs = new Map<string, number>()
 
   /** Records an entry read at `nowMs`. Its age is not known, so the time that it names counts from now on, at the first reading only. Returns whether the endpoint became cold. */
   record (report: ColdReport, nowMs: number): boolean {
@@ -34,12 +36,18 @@
     return report.coldRemainingMs > 0 && !wasCold
   }
 
+  /** Takes an endpoint for cold until `untilMs`, because an entry that says so may be on its way. */
+  presume (id: string, untilMs: number): void {
+    this.#presumedUntilMs.set(id, untilMs)
+  }
+
   forget (id: string): void {
+    this.#presumedUntilMs.delete(id)
     this.#states.delete(id)
   }
 
   /** Time until which the endpoint is cold; `-Infinity` if it has never been. */
   untilMs (id: string): number {
-    return this.#states.get(id)?.untilMs ?? -Infinity
+    return Math.max(this.#states.get(id)?.untilMs ?? -Infinity, this.#presumedUntilMs.get(id) ?? -Infinity)
   }
 }
