--- a/packages/gateway/src/node/followFleet.ts
+++ b/packages/gateway/src/node/followFleet.ts
@@ -178,7 +178,7 @@
 
   const watchWaitMs = Math.max(minWatchMs, state.deployment.contactMs - silenceDetectionMs)
   const endpointFollower = new StoreFollower({ kind: 'endpoints', store, timers, log, random, listener: endpointListener, waitMs: () => watchWaitMs, pauseMs: endpointBatchMs })
-  const evacuationFollower = new StoreFollower({ kind: 'evacuations', store, timers, log, random, listener: evacuationListener, waitMs: () => watchWaitMs, pauseMs: 0, pioneer: endpointFollower })
+  const evacuationFollower = new StoreFollower({ kind: 'evacuations', store, timers, log, random, listener: evacuationListener, waitMs: () => watchWaitMs, pauseMs: 0 })
   const followers = [
     endpointFollower,
     new StoreFollower({ kind: 'configuration', store, timers, log, random, listener: configurationListener, waitMs: () => watchWaitMs, pauseMs: 0, listsAfterFailure: true }),
--- a/packages/gateway/src/node/storeFollower.ts
+++ b/packages/gateway/src/node/storeFollower.ts
@@ -25,14 +25,10 @@
   readonly pauseMs: number
   /** Lists the objects after a failure, and does not go on with the watch. This is for large objects of which only the latest state counts; a watch would send each state that was missed. */
   readonly listsAfterFailure?: boolean
-  /** Follower of another kind that tries the store again after a failure, so that this one does not have to. */
-  readonly pioneer?: StoreFollower
 }
 
 const initialRetryMs = 100
 const maxRetryMs = 800
-const maxPioneerWaitMs = 2500
-const pioneerCheckMs = 50
 
 export class StoreFollower {
   readonly #options: FollowerOptions
@@ -124,14 +120,6 @@
     const retryMs = Math.min(maxRetryMs, initialRetryMs * 2 ** this.#failures)
     this.#failures++
     await this.#pause(retryMs * (0.5 + this.#options.random()))
-    await this.#awaitPioneer()
-  }
-
-  /** Waits while the pioneer has no contact with the store either, but not for long, because it may have a fault of its own. */
-  async #awaitPioneer (): Promise<void> {
-    const { pioneer, timers } = this.#options
-    const endMs = timers.monotonicMs() + maxPioneerWaitMs
-    while (pioneer?.isInContact === false && !this.#isStopped && timers.monotonicMs() < endMs) await this.#pause(pioneerCheckMs)
   }
 
   #noteContact (): void {
