Let one follower probe a store that is away, and the others follow it

Change: while the follower of the endpoints has lost contact as well, the others retry more slowly, and at once when it has contact again.

--- a/packages/gateway/src/node/followFleet.ts
+++ b/packages/gateway/src/node/followFleet.ts
@@ -132,11 +132,12 @@
   }
 
   const watchWaitMs = Math.max(minWatchMs, state.deployment.contactMs - silenceDetectionMs)
+  const probe = new StoreFollower({ kind: 'endpoints', store, timers, log, random, listener: endpointListener, waitMs: () => watchWaitMs, pauseMs: endpointBatchMs })
   const followers = [
-    new StoreFollower({ kind: 'configuration', store, timers, log, random, listener: configurationListener, waitMs: () => watchWaitMs, pauseMs: 0, listsAfterFailure: true }),
-    new StoreFollower({ kind: 'endpoints', store, timers, log, random, listener: endpointListener, waitMs: () => watchWaitMs, pauseMs: endpointBatchMs }),
-    new StoreFollower({ kind: 'rollouts', store, timers, log, random, listener: rolloutListener, waitMs: () => state.rollouts.isRunning ? watchWaitMs : idleWatchMs, pauseMs: 0 }),
-    new StoreFollower({ kind: 'crashes', store, timers, log, random, listener: crashListener, waitMs: () => state.crashes.isInSeries ? watchWaitMs : idleWatchMs, pauseMs: crashBatchMs })
+    probe,
+    new StoreFollower({ kind: 'configuration', store, timers, log, random, listener: configurationListener, waitMs: () => watchWaitMs, pauseMs: 0, listsAfterFailure: true, probe }),
+    new StoreFollower({ kind: 'rollouts', store, timers, log, random, listener: rolloutListener, waitMs: () => state.rollouts.isRunning ? watchWaitMs : idleWatchMs, pauseMs: 0, probe }),
+    new StoreFollower({ kind: 'crashes', store, timers, log, random, listener: crashListener, waitMs: () => state.crashes.isInSeries ? watchWaitMs : idleWatchMs, pauseMs: crashBatchMs, probe })
   ]
   for (const follower of followers) follower.start()
   // Endpoints and operators write again what the restore lost. Entries that are ignored until then show no further event if only their heartbeat changes.
@@ -144,7 +145,7 @@
     isStoreRestored = true
     contactRegainedMs = timers.monotonicMs()
     log.event('storeRestored', { era: store.era() })
-    for (const delayMs of relistDelaysMs) timers.after(delayMs, () => { followers[1]!.relist() })
+    for (const delayMs of relistDelaysMs) timers.after(delayMs, () => { probe.relist() })
   })
   const stopExpiring = timers.every(expiryCheckIntervalMs, () => {
     for (const change of state.directory.removeExpired(timers.monotonicMs())) onDirectoryChange(change)
--- a/packages/gateway/src/node/storeFollower.ts
+++ b/packages/gateway/src/node/storeFollower.ts
@@ -25,10 +25,14 @@
   readonly pauseMs: number
   /** Lists the objects after a failure, and does not go on with the watch. This is for large objects of which only the latest state counts; a watch would send each state that was missed. */
   readonly listsAfterFailure?: boolean
+  /** Another follower of the same store. While both have lost contact, only that one calls the store often, because each call counts, and this one follows when it has contact again. */
+  readonly probe?: StoreFollower
 }
 
 const initialRetryMs = 100
 const maxRetryMs = 800
+/** `maxRetryMs` while another follower probes the store. It also covers a store that responds to that follower's kind only. */
+const maxRetryBesideProbeMs = 2400
 
 export class StoreFollower {
   readonly #options: FollowerOptions
@@ -38,8 +42,15 @@
   #isRelistDue = false
   #wake: (() => void) | undefined
 
+  readonly #contactListeners: Array<() => void> = []
+
   constructor (options: FollowerOptions) {
     this.#options = options
+    options.probe?.onContactRegained(() => { if (this.#failures > 0) this.#wake?.() })
+  }
+
+  onContactRegained (listener: () => void): void {
+    this.#contactListeners.push(listener)
   }
 
   start (): void {
@@ -56,6 +67,11 @@
     this.#isRelistDue = true
   }
 
+  /** Whether the last call failed. */
+  get hasLostContact (): boolean {
+    return this.#failures > 0
+  }
+
   get isInContact (): boolean {
     return this.#failures === 0 && this.#revision !== undefined
   }
@@ -117,14 +133,18 @@
     const detail = failure.kind === 'unavailable' || failure.kind === 'rejected' ? failure.detail : failure.kind
     if (this.#failures === 0) this.#options.listener.onContact(false, detail)
     if (this.#options.listsAfterFailure === true) this.#revision = undefined
+    const { probe, random } = this.#options
     const retryMs = Math.min(maxRetryMs, initialRetryMs * 2 ** this.#failures)
     this.#failures++
-    await this.#pause(retryMs * (0.5 + this.#options.random()))
+    await this.#pause((probe?.hasLostContact === true ? maxRetryBesideProbeMs : retryMs) * (0.5 + random()))
   }
 
   #noteContact (): void {
-    if (this.#failures > 0) this.#options.listener.onContact(true, '')
+    const isRegained = this.#failures > 0
     this.#failures = 0
+    if (!isRegained) return
+    this.#options.listener.onContact(true, '')
+    for (const listener of this.#contactListeners) listener()
   }
 
   #pause (durationMs: number): Promise<void> {
