--- a/packages/gateway/src/node/followFleet.ts
+++ b/packages/gateway/src/node/followFleet.ts
@@ -177,13 +177,13 @@
   }
 
   const watchWaitMs = Math.max(minWatchMs, state.deployment.contactMs - silenceDetectionMs)
-  const endpointFollower = new StoreFollower({ kind: 'endpoints', store, timers, log, random, listener: endpointListener, waitMs: () => watchWaitMs, pauseMs: endpointBatchMs })
+  const probe = new StoreFollower({ kind: 'endpoints', store, timers, log, random, listener: endpointListener, waitMs: () => watchWaitMs, pauseMs: endpointBatchMs })
   const evacuationFollower = new StoreFollower({ kind: 'evacuations', store, timers, log, random, listener: evacuationListener, waitMs: () => watchWaitMs, pauseMs: 0 })
   const followers = [
-    endpointFollower,
-    new StoreFollower({ kind: 'configuration', store, timers, log, random, listener: configurationListener, waitMs: () => watchWaitMs, pauseMs: 0, listsAfterFailure: true }),
-    new StoreFollower({ kind: 'rollouts', store, timers, log, random, listener: rolloutListener, waitMs: () => state.rollouts.isRunning ? watchWaitMs : idleWatchMs, pauseMs: 0 }),
-    new StoreFollower({ kind: 'crashes', store, timers, log, random, listener: crashListener, waitMs: () => state.crashes.isInSeries ? watchWaitMs : idleWatchMs, pauseMs: crashBatchMs }),
+    probe,
+    new StoreFollower({ kind: 'configuration', store, timers, log, random, listener: configurationListener, waitMs: () => watchWaitMs, pauseMs: 0, listsAfterFailure: true, probe }),
+    new StoreFollower({ kind: 'rollouts', store, timers, log, random, listener: rolloutListener, waitMs: () => state.rollouts.isRunning ? watchWaitMs : idleWatchMs, pauseMs: 0, probe }),
+    new StoreFollower({ kind: 'crashes', store, timers, log, random, listener: crashListener, waitMs: () => state.crashes.isInSeries ? watchWaitMs : idleWatchMs, pauseMs: crashBatchMs, probe }),
     ...(state.deployment.hasEvacuations ? [evacuationFollower] : [])
   ]
   for (const follower of followers) follower.start()
@@ -192,7 +192,7 @@
     isStoreRestored = true
     contactRegainedMs = timers.monotonicMs()
     log.event('storeRestored', { era: store.era() })
-    for (const delayMs of relistDelaysMs) timers.after(delayMs, () => { endpointFollower.relist() })
+    for (const delayMs of relistDelaysMs) timers.after(delayMs, () => { probe.relist() })
     isRestoreRecent = true
     stopSettling()
     stopSettling = timers.after(restoreSettledMs, () => {
