Bound the memory, connections and requests ahead of callers

Cause: a router kept whatever callers sent, without a bound over all of them. Bodies that are not complete at the deadline of their request get 408. Garbage of ended requests is collected early, since V8 frees buffers only after tens of MB.

--- a/packages/gateway/src/node/__tests__/endpointAttempt.test.ts
+++ b/packages/gateway/src/node/__tests__/endpointAttempt.test.ts
@@ -10,7 +10,7 @@
 
   beforeEach(() => {
     observations = []
-    attempt = new EndpointAttempt(new TrackedEndpoint(entry, 0, () => {}), {
+    attempt = new EndpointAttempt(new TrackedEndpoint(entry, 0, () => {}, { limit: Infinity, openCount: 0 }), {
       generation: { promptTokens: 100, maxOutputTokens: 50, prompt: [] }, uncachedTokens: 100, estimateMs: 10, nowMs: 0, onObservation: observation => { observations.push(observation) }
     })
   })
--- a/packages/gateway/src/node/__tests__/endpointLimits.test.ts
+++ b/packages/gateway/src/node/__tests__/endpointLimits.test.ts
@@ -16,7 +16,7 @@
 /** The limits at the router with the given rank for the endpoint. `replies` are the results of its exchanges, in order. */
 function limitsAtRank (rank: number, replies: LimitExchange[] = []) {
   const timers = new ManualTimers(1000)
-  const endpoint = new TrackedEndpoint(entry, 1000, () => {})
+  const endpoint = new TrackedEndpoint(entry, 1000, () => {}, { limit: Infinity, openCount: 0 })
   const asked: string[] = []
   const unreachable = new Set<string>()
   const client: LimitClient = {
--- a/packages/gateway/src/node/__tests__/gatewayMetrics.test.ts
+++ b/packages/gateway/src/node/__tests__/gatewayMetrics.test.ts
@@ -7,7 +7,7 @@
 import { meteredStore } from '../meteredStore.ts'
 
 const zero = (): number => 0
-const zeroSources: GaugeSources = { openRequests: zero, resourceUse: zero, loopDelayMs: zero, storeAgeMs: zero, droppedLogLines: zero }
+const zeroSources: GaugeSources = { openRequests: zero, resourceUse: zero, loopDelayMs: zero, storeAgeMs: zero, heldBytes: zero, droppedLogLines: zero }
 
 describe('createGatewayMetrics', () => {
   it('reads the number of open requests when the metrics are served', async () => {
--- a/packages/gateway/src/node/callInput.ts
+++ b/packages/gateway/src/node/callInput.ts
@@ -1,5 +1,6 @@
 /** An admitted request of a caller, with everything that is needed to run it. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { MemoryHolder } from '@buckthorndrift/policy'
 import type { CallAttributes } from '../shared/call.ts'
 import type { Organisation, Route, Service } from '../shared/fleet.ts'
 import type { CallContent } from './crashTracker.ts'
@@ -9,6 +10,8 @@
   readonly response: ServerResponse
   readonly attributes: CallAttributes
   readonly body: Buffer | undefined
+  /** Holds the memory of the request and of the part of its answer that the caller has not read. */
+  readonly holder: MemoryHolder
   readonly route: Route
   readonly service: Service
   readonly organisation: Organisation | undefined
--- a/packages/gateway/src/node/callRun.ts
+++ b/packages/gateway/src/node/callRun.ts
@@ -86,13 +86,18 @@
     }
     const placement = this.#state.place(this.#input, this.#history.triedIds)
     if (placement === undefined) {
-      if (this.#history.verdict !== notRun) this.#fail('backEndFailed', this.#lastDetail)
-      else this.#refuse('noEndpoint', 'no endpoint takes the request', this.#state.retryAfterMs(this.#input.service.name))
+      this.#endUnplaced('noEndpoint', 'no endpoint takes the request')
       return
     }
     this.#send(placement)
   }
 
+  /** Ends a request that is sent to no further endpoint. */
+  #endUnplaced (reason: FailureReason, detail: string): void {
+    if (this.#history.verdict === notRun) this.#refuse(reason, detail, this.#state.retryAfterMs(this.#input.service.name))
+    else this.#fail('backEndFailed', this.#lastDetail)
+  }
+
   #send (placement: Placement): void {
     const { endpoint, estimateMs, uncachedTokens } = placement
     this.#placement = placement
@@ -218,8 +223,7 @@
       this.#retry(this.#lastDetail)
       return
     }
-    if (this.#history.verdict === notRun) this.#refuse('endpointFull', 'no endpoint has capacity for the request', this.#state.retryAfterMs(this.#input.service.name))
-    else this.#fail('backEndFailed', this.#lastDetail)
+    this.#endUnplaced('endpointFull', 'no endpoint has capacity for the request')
   }
 
   #onFailure (failure: ExchangeFailure): void {
@@ -228,20 +232,16 @@
     const endpoint = this.#endAttempt(saysNothing ? undefined : false)
     this.#lastDetail = failure.detail
     this.#callerResponse.discardBuffered()
+    if (saysNothing) this.#history.recordUnsent()
     if (failure.kind === 'unsendable') {
-      this.#history.recordUnsent()
       if (this.#history.verdict === notRun) this.#refuse('internal', failure.detail)
       else this.#fail('backEndFailed', failure.detail)
       return
     }
     if (failure.kind === 'notConnected') {
       this.#state.recordHealth(endpoint, 'down')
-      this.#history.recordUnsent()
-      if (this.#history.mayTryUnsent && this.#remainingMs > minAttemptMs) {
-        this.#retry(failure.detail)
-        return
-      }
-      if (this.#history.verdict === notRun) this.#refuse('noEndpoint', 'no endpoint could be reached', this.#state.retryAfterMs(this.#input.service.name))
+      if (this.#history.mayTryUnsent && this.#remainingMs > minAttemptMs) this.#retry(failure.detail)
+      else if (this.#history.verdict === notRun) this.#refuse('noEndpoint', 'no endpoint could be reached', this.#state.retryAfterMs(this.#input.service.name))
       else this.#fail('endpointLost', failure.detail)
       return
     }
--- a/packages/gateway/src/node/callerResponse.ts
+++ b/packages/gateway/src/node/callerResponse.ts
@@ -1,5 +1,6 @@
 /** The response to a caller. Its beginning is buffered while the request may still be retried. */
 import type { ServerResponse } from 'node:http'
+import type { MemoryHolder } from '@buckthorndrift/policy'
 import { isFramed } from '../shared/responseFraming.ts'
 import type { CallInput } from './callInput.ts'
 import type { ResponseHead } from './exchange.ts'
@@ -9,6 +10,11 @@
 /** Largest response that is buffered until it is complete, so that the request can be retried if the response is truncated. */
 const maxBufferedBytes = 64 * 1024
 
+/** Memory that a paused response holds here, with the buffers of both connections. */
+const pausedBytes = 128 * 1024
+/** Time after the deadline within which a caller has to read the rest of its response. */
+const unreadGraceMs = 5000
+
 /** Source of response bytes that can be paused for back pressure. */
 export interface FlowControl {
   pause (): void
@@ -16,20 +22,26 @@
 }
 
 export class CallerResponse {
-  readonly #state: Pick<GatewayState, 'dialect' | 'log'>
+  readonly #state: Pick<GatewayState, 'dialect' | 'log' | 'clock' | 'limitReports'>
   readonly #response: ServerResponse
   readonly #attemptId: string | undefined
   #buffered: Buffer[] = []
   #bufferedBytes = 0
+  readonly #holder: MemoryHolder
+  readonly #deadlineAtMs: number
+  /** Whether memory for a paused response is held. */
+  #isPausedHeld = false
   #isFramed = false
   /** Whether the end of this process resets the connection. */
   #isGuarded = false
   #startedHead: ResponseHead | undefined
 
-  constructor (state: Pick<GatewayState, 'dialect' | 'log'>, { response, attributes }: CallInput) {
+  constructor (state: Pick<GatewayState, 'dialect' | 'log' | 'clock' | 'limitReports'>, { response, attributes, holder, deadlineAtMs }: CallInput) {
     this.#state = state
     this.#response = response
     this.#attemptId = attributes.attemptId
+    this.#holder = holder
+    this.#deadlineAtMs = deadlineAtMs
   }
 
   /** Whether a part of the response was sent to the caller. */
@@ -65,11 +77,14 @@
   write (bytes: Buffer, source: FlowControl | undefined): void {
     if (this.#response.write(bytes) || source === undefined) return
     source.pause()
+    if (!this.#isPausedHeld) this.#hold(pausedBytes)
+    this.#isPausedHeld = true
     this.#response.once('drain', () => { source.resume() })
   }
 
   /** Buffers bytes. Returns false when the buffer exceeds its limit. */
   buffer (bytes: Buffer): boolean {
+    this.#hold(bytes.length)
     this.#buffered.push(bytes)
     this.#bufferedBytes += bytes.length
     return this.#bufferedBytes <= maxBufferedBytes
@@ -84,11 +99,25 @@
     this.#bufferedBytes = 0
   }
 
+  /** Takes memory for the response. Without any left, the connection is closed: the caller has not read what it has asked for. */
+  #hold (bytes: number): void {
+    if (this.#holder.tryHold(bytes, this.#state.clock.nowMs())) return
+    this.#state.limitReports.record('memory')
+    this.closeConnection()
+  }
+
+  /** Closes the connection if the caller does not read the rest of the response. */
+  #limitUnreadTime (): void {
+    const timer = setTimeout(() => { this.closeConnection() }, Math.max(0, this.#deadlineAtMs - this.#state.clock.nowMs()) + unreadGraceMs)
+    this.#response.once('close', () => { clearTimeout(timer) })
+  }
+
   end (): void {
     const { socket } = this.#response
     // Before the last bytes are handed to the operating system, the end of this process still truncates the response.
     if (this.#isGuarded) this.#response.once('finish', () => { setResetOnExit(socket, false) })
     this.#response.end()
+    if (this.#response.writableLength > 0) this.#limitUnreadTime()
   }
 
   /** Closes the connection of the caller, so that a truncated response does not look complete. Without a length or chunks, only a reset shows this. */
--- a/packages/gateway/src/node/callerServer.ts
+++ b/packages/gateway/src/node/callerServer.ts
@@ -2,24 +2,33 @@
 import { createServer, STATUS_CODES, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
-import { notRun, type Failure, type FailureReason } from '@buckthorndrift/policy'
+import { assertNever } from '@buckthorndrift/kernel'
+import { notRun, type Failure, type FailureReason, type MemoryHolder } from '@buckthorndrift/policy'
 import type { CallerLimits, Organisation, Route } from '../shared/fleet.ts'
 import type { RouteTable } from '../shared/routeTable.ts'
 import { contentOf, type CallInput } from './callInput.ts'
+import { readCallerBody } from './callerBody.ts'
 import { CallRun } from './callRun.ts'
+import { ConnectionGuard } from './connectionGuard.ts'
 import { sendFailure } from './sendFailure.ts'
 import type { GatewayState } from './gatewayState.ts'
-import { readBody } from './readBody.ts'
 import { retryElsewhereMs, stopRefusal, stopTooSoonDetail } from './stopRefusal.ts'
 
 const maxHeaderBytes = 64 * 1024
+/** Size at which Node.js stops reading a head, relative to the limit of the configuration. Its count includes the path. */
+const headerSizeFactor = 2
 /** Interval at which Node.js checks the header timeout of incomplete requests. */
 const timeoutCheckIntervalMs = 500
 /** Bytes buffered for a caller that reads slowly. Beyond them, back pressure pauses reading from its endpoint. */
 const responseBufferBytes = 32 * 1024
 /** Time after the start of a graceful shutdown during which new requests are still accepted. Later requests on keep-alive connections are refused, so that callers retry at another router. */
 const shutdownAcceptMs = 3000
+/** Memory that a request holds with its objects, and with the strings of each line of its head, beside their characters. */
+const [requestBytes, headerLineBytes] = [4096, 128]
+/** Error code of a connection whose requests are not read any more. */
+const pausedParserCode = 'HPE_PAUSED'
 const badRequestStatus = 400
+const timeoutStatus = 408
 /** Statuses of requests that cannot be read, by the error code of Node.js. */
 const unreadableStatuses: Readonly<Record<string, number>> = { ERR_HTTP_REQUEST_TIMEOUT: 408, HPE_HEADER_OVERFLOW: 431, HPE_CHUNK_EXTENSIONS_OVERFLOW: 413 }
 
@@ -27,6 +36,13 @@
   | { readonly kind: 'admitted', readonly route: Route, readonly organisation: Organisation | undefined, readonly table: RouteTable }
   | { readonly kind: 'refused', readonly failure: Failure }
 
+/** A request that was read whole. */
+interface ReadRequest {
+  readonly holder: MemoryHolder
+  readonly body: Buffer | undefined
+  readonly arrivedMs: number
+}
+
 function refusal (reason: FailureReason, detail: string, retryAfterMs?: number): Admission {
   return { kind: 'refused', failure: { verdict: notRun, reason, detail, ...(retryAfterMs === undefined ? {} : { retryAfterMs }) } }
 }
@@ -34,13 +50,14 @@
 export class CallerServer {
   readonly server: Server
   readonly #state: GatewayState
+  readonly #guard: ConnectionGuard
   /** Connections with a request that is not answered yet. */
   readonly #answering = new Set<Duplex>()
   readonly #unreadable = new WeakSet<Duplex>()
   readonly #runs = new Set<CallRun>()
   #stoppingSinceMs: number | undefined
 
-  constructor (state: GatewayState) {
+  constructor (state: GatewayState, maxConnections: number) {
     this.#state = state
     this.server = createServer({
       maxHeaderSize: maxHeaderBytes,
@@ -48,7 +65,10 @@
       highWaterMark: responseBufferBytes,
       noDelay: true,
       keepAlive: true
-    }, (request, response) => { this.#handle(request, response).catch((error: unknown) => { this.#abandon(request, response, error) }) })
+    }, (request, response) => {
+      if (this.#guard.admit(request, response)) this.#handle(request, response).catch((error: unknown) => { this.#abandon(request, response, error) })
+    })
+    this.#guard = new ConnectionGuard(this.server, { maxConnections, limit: 'callerConnections', reports: state.limitReports })
     this.server.requestTimeout = 0
     this.server.on('clientError', (error, socket) => { this.#rejectUnreadable(error, socket) })
     this.server.on('connection', socket => {
@@ -59,6 +79,7 @@
 
   /** Applies the limits of a new configuration. */
   configure (limits: CallerLimits): void {
+    (this.server as Server & { maxHeaderSize: number }).maxHeaderSize = Math.min(maxHeaderBytes, limits.maxHeaderBytes * headerSizeFactor)
     this.server.headersTimeout = limits.headerTimeoutMs
     this.server.keepAliveTimeout = limits.idleTimeoutMs
   }
@@ -94,23 +115,53 @@
       return
     }
     const limits = earlyAdmission.table.configuration.limits
-    if (headerBytes(request) > limits.maxHeaderBytes) {
+    const bytes = headerBytes(request)
+    if (bytes > limits.maxHeaderBytes) {
       response.writeHead(431, { Connection: 'close', 'Content-Length': 0 }).end()
       return
     }
-    const read = await readBody(request, limits.maxBodyBytes)
-    if (read.kind === 'aborted') return
-    if (read.kind === 'tooLarge') {
-      this.#sendRefusal(request, response, { verdict: notRun, reason: 'requestTooLarge', detail: `the body is larger than ${limits.maxBodyBytes} bytes` })
-      return
+    const { holder, read } = readCallerBody(request, response, {
+      memory: this.#state.memory,
+      headBytes: requestBytes + bytes + request.rawHeaders.length / 2 * headerLineBytes,
+      maxBodyBytes: limits.maxBodyBytes,
+      timeoutMs: this.#timeoutMs(request, earlyAdmission.route),
+      nowMs: () => this.#state.clock.nowMs()
+    })
+    const result = await read
+    switch (result.kind) {
+      case 'read':
+        this.#guard.recordRead(request, response)
+        await this.#startRun(request, response, { holder, body: result.body, arrivedMs })
+        return
+      case 'tooLarge':
+        this.#sendRefusal(request, response, { verdict: notRun, reason: 'requestTooLarge', detail: `the body is larger than ${limits.maxBodyBytes} bytes` })
+        return
+      case 'noMemory':
+        this.#state.limitReports.record('memory')
+        this.#sendRefusal(request, response, { verdict: notRun, reason: 'overloaded', detail: 'the requests of callers have used up the memory for them', retryAfterMs: this.#state.retryAfterMs() })
+        return
+      case 'late':
+        this.#state.limitReports.record('requestDeadline')
+        this.#state.log.event('requestUnreadable', { cause: 'the deadline passed before the body was complete', status: timeoutStatus })
+        response.writeHead(timeoutStatus, { Connection: 'close', 'Content-Length': 0 }).end()
+        return
+      case 'aborted':
+        return
+      default:
+        assertNever(result)
     }
+  }
+
+  /** Time after its arrival at which a request ends. */
+  #timeoutMs (request: IncomingMessage, route: Route): number {
+    return Math.min(this.#state.dialect.parseCall(request.headers).deadlineMs ?? route.timeoutMs, route.timeoutMs)
+  }
+
+  async #startRun (request: IncomingMessage, response: ServerResponse, read: ReadRequest): Promise<void> {
     // The configuration may have changed while the body was read.
     const admission = this.#admit(request)
-    if (admission.kind === 'refused') {
-      this.#sendRefusal(request, response, admission.failure)
-      return
-    }
-    await this.#run(request, response, admission, read.body, arrivedMs)
+    if (admission.kind === 'refused') this.#sendRefusal(request, response, admission.failure)
+    else await this.#run(request, response, admission, read)
   }
 
   /** Closes the connection of a request whose handling failed, which says nothing about whether it ran. The other requests go on. */
@@ -119,7 +170,7 @@
     response.destroy()
   }
 
-  async #run (request: IncomingMessage, response: ServerResponse, admission: Extract<Admission, { kind: 'admitted' }>, body: Buffer | undefined, arrivedMs: number): Promise<void> {
+  async #run (request: IncomingMessage, response: ServerResponse, admission: Extract<Admission, { kind: 'admitted' }>, { holder, body, arrivedMs }: ReadRequest): Promise<void> {
     const { route, organisation, table } = admission
     const attributes = this.#state.dialect.parseCall(request.headers)
     const serviceName = this.#state.chooseService(route.targets)
@@ -132,7 +183,7 @@
       this.#sendRefusal(request, response, { verdict: notRun, reason: 'overloaded', detail: 'the VM of this router is near its limits', retryAfterMs: retryElsewhereMs })
       return
     }
-    const timeoutMs = Math.min(attributes.deadlineMs ?? route.timeoutMs, route.timeoutMs)
+    const timeoutMs = this.#timeoutMs(request, route)
     if (!this.#state.mayStart(route, arrivedMs + timeoutMs)) {
       this.#sendRefusal(request, response, stopRefusal(stopTooSoonDetail))
       return
@@ -143,6 +194,7 @@
       response,
       attributes,
       body,
+      holder,
       route,
       service,
       organisation,
@@ -164,7 +216,7 @@
   /** Answers a request that the HTTP parser gave up on, such as one whose headers take too long. Without this listener, Node.js answers it without a log line. */
   #rejectUnreadable (error: NodeJS.ErrnoException, socket: Duplex): void {
     // The parser may report several errors of one connection.
-    if (this.#unreadable.has(socket)) return
+    if (this.#unreadable.has(socket) || error.code === pausedParserCode) return
     this.#unreadable.add(socket)
     const status = unreadableStatuses[error.code ?? ''] ?? badRequestStatus
     const isAnswerable = socket.writable && error.code !== 'ECONNRESET' && !this.#answering.has(socket)
--- a/packages/gateway/src/node/endpointConnections.ts
+++ b/packages/gateway/src/node/endpointConnections.ts
@@ -34,6 +34,12 @@
   onReadable: (() => void) | undefined
 }
 
+/** Connections to all endpoints together. */
+export interface ConnectionQuota {
+  readonly limit: number
+  openCount: number
+}
+
 interface PooledConnection extends Connection {
   /** Counts a request that has ended on the current socket. */
   countRequest (): void
@@ -51,9 +57,11 @@
   #pendingProbe: Promise<ProbeResult> | undefined
 
   readonly #onSocket: (socket: net.Socket) => void
+  readonly #quota: ConnectionQuota
 
   /** `onSocket` is called with each socket that is opened. */
-  constructor (address: string, onSocket: (socket: net.Socket) => void) {
+  constructor (address: string, onSocket: (socket: net.Socket) => void, quota: ConnectionQuota) {
+    this.#quota = quota
     this.#onSocket = onSocket
     const colon = address.lastIndexOf(':')
     this.#host = address.slice(0, colon)
@@ -82,9 +90,26 @@
     return pooled
   }
 
+  /** Whether `acquire` returns a connection without exceeding the quota. */
+  mayAcquire (isRepeatable: boolean): boolean {
+    if (this.#quota.openCount < this.#quota.limit) return true
+    return isRepeatable ? this.#idle.length > 0 : this.#isRecent(this.#idle.at(-1))
+  }
+
+  /** Closes the connection that has been idle longest. Returns false if none is idle. */
+  closeIdle (): boolean {
+    const pooled = this.#idle[0]
+    if (pooled !== undefined) this.#close(pooled)
+    return pooled !== undefined
+  }
+
+  #isRecent (pooled: PooledConnection | undefined): boolean {
+    return pooled !== undefined && performance.now() - pooled.lastUsedMs <= maxReuseIdleMs
+  }
+
   #takeRecent (): PooledConnection | undefined {
     const pooled = this.#idle.at(-1)
-    if (pooled === undefined || performance.now() - pooled.lastUsedMs > maxReuseIdleMs) return undefined
+    if (!this.#isRecent(pooled)) return undefined
     this.#idle.pop()
     return pooled
   }
@@ -138,6 +163,7 @@
     if (pooled.isClosed) return
     pooled.isClosed = true
     this.#openCount--
+    this.#quota.openCount--
     const index = this.#idle.indexOf(pooled)
     if (index !== -1) this.#idle.splice(index, 1)
     void pooled.client.destroy()
@@ -191,6 +217,7 @@
       onReadable: undefined
     }
     this.#openCount++
+    this.#quota.openCount++
     client.on('disconnect', () => {
       // The HTTP client is closed, because it would reconnect by itself. A new client costs no more and starts in a known state.
       if (!pooled.isBusy) this.#close(pooled)
--- a/packages/gateway/src/node/gatewayMetrics.ts
+++ b/packages/gateway/src/node/gatewayMetrics.ts
@@ -18,6 +18,7 @@
   readonly budgetWaitMs: Histogram
   readonly storeCalls: Counter<'kind' | 'operation' | 'outcome'>
   readonly storeCallMs: Histogram<'operation'>
+  readonly callerLimits: Counter<'limit'>
   readonly configurationVersion: Gauge
 }
 
@@ -29,6 +30,8 @@
   loopDelayMs (): number
   /** Time since the last response of the store. */
   storeAgeMs (): number
+  /** Memory of the budget that requests hold. */
+  heldBytes (): number
   droppedLogLines (): number
 }
 
@@ -53,6 +56,7 @@
   gauge('event_loop_delay_ms', 'how late the event loop is, in ms', sources.loopDelayMs)
   gauge('store_age_ms', 'time since the store last answered, in ms', sources.storeAgeMs)
   gauge('dropped_log_lines', 'log lines dropped since the last line that said so', sources.droppedLogLines)
+  gauge('held_memory_bytes', 'memory that requests of callers hold, of the budget for it', sources.heldBytes)
   gauge('resident_memory_mb', 'resident memory in MB', () => process.memoryUsage.rss() / bytesPerMb)
   return {
     registry,
@@ -67,6 +71,7 @@
     budgetWaitMs: histogram('budget_wait_ms', 'time that a request waited for tokens of its budget in ms', []),
     storeCalls: counter('store_calls_total', 'calls to the object store by kind of object, operation and outcome', ['kind', 'operation', 'outcome']),
     storeCallMs: histogram('store_call_ms', 'time to the answer of the object store in ms, without watches', ['operation']),
+    callerLimits: counter('caller_limits_total', 'requests refused or connections closed because a limit was reached', ['limit']),
     configurationVersion: new Gauge({ name: `${prefix}configuration_version`, help: 'version of the configuration in force', registers })
   }
 }
@@ -74,7 +79,7 @@
 /** Renders the documentation page of all metrics. `otherPrograms` is the page of the other programs, to which the gateway's section is appended. */
 export async function metricsPage (otherPrograms: string): Promise<string> {
   const none = (): number => 0
-  const { registry } = createGatewayMetrics({ openRequests: none, resourceUse: none, loopDelayMs: none, storeAgeMs: none, droppedLogLines: none })
+  const { registry } = createGatewayMetrics({ openRequests: none, resourceUse: none, loopDelayMs: none, storeAgeMs: none, heldBytes: none, droppedLogLines: none })
   const metrics = await registry.getMetricsAsJSON()
   const rows = metrics.map(({ name, type, help }) => `| \`${name}\` | ${String(type)} | ${help} |`).sort()
   const intro = '## Gateway\n\nServed as text on the metrics address; the label `service` has one value for each service.'
--- a/packages/gateway/src/node/gatewayState.ts
+++ b/packages/gateway/src/node/gatewayState.ts
@@ -1,6 +1,6 @@
 /** State that all requests of a gateway share: its view of the fleet, and the routing decisions that depend on it. */
 import type { Log } from '@buckthorndrift/kernel'
-import { canEndBeforeStop, placeCall, placeGeneration, rankByRendezvous, RecentDurations, type FailureReason, type Hasher, type OverloadGuard } from '@buckthorndrift/policy'
+import { canEndBeforeStop, placeCall, placeGeneration, rankByRendezvous, RecentDurations, socketShares, type FailureReason, type Hasher, type HeldMemory, type OverloadGuard } from '@buckthorndrift/policy'
 import { isRepeatable } from '../shared/attemptRules.ts'
 import type { Deployment } from '../shared/deployment.ts'
 import type { ResponseAttributes } from '../shared/call.ts'
@@ -19,6 +19,7 @@
 import { TrackedEndpoints, type TrackedEndpoint } from './trackedEndpoints.ts'
 import type { Rollouts } from './rollouts.ts'
 import type { GatewayMetrics } from './gatewayMetrics.ts'
+import type { LimitReports } from './limitReports.ts'
 import type { LoadMeter } from './loadMeter.ts'
 
 /** The endpoint chosen for one attempt. */
@@ -60,6 +61,8 @@
   readonly load: LoadMeter
   readonly rollouts: Rollouts
   readonly limits: EndpointLimits
+  readonly memory: HeldMemory
+  readonly limitReports: LimitReports
   readonly hasher: Hasher
   readonly random: () => number
 }
@@ -91,6 +94,9 @@
   readonly load: LoadMeter
   readonly rollouts: Rollouts
   readonly limits: EndpointLimits
+  /** Memory that requests of callers and messages of other routers hold. */
+  readonly memory: HeldMemory
+  readonly limitReports: LimitReports
   readonly #hasher: Hasher
   readonly #random: () => number
   readonly #retryQuotas = new Map<string, RetryQuota>()
@@ -112,7 +118,9 @@
     this.load = options.load
     this.rollouts = options.rollouts
     this.limits = options.limits
-    this.endpoints = new TrackedEndpoints(socket => { this.load.track(socket) })
+    this.endpoints = new TrackedEndpoints(socket => { this.load.track(socket) }, socketShares(this.deployment.maxSockets).endpoints)
+    this.memory = options.memory
+    this.limitReports = options.limitReports
     this.#hasher = options.hasher
     this.#random = options.random
   }
@@ -220,6 +228,13 @@
     return this.rollouts.eligible({ ...input, isRepeated: true }).filter(entry => this.#isAccepting(entry, nowMs))
   }
 
+  /** Whether a request can be sent to an endpoint within the connections that this router may have to endpoints. */
+  #mayConnect ({ endpoint }: Placement, route: Route): boolean {
+    const mayConnect = this.endpoints.mayConnect(endpoint, isRepeatable(route))
+    if (!mayConnect) this.limitReports.record('endpointConnections')
+    return mayConnect
+  }
+
   /** Records how an attempt at an endpoint ended. `down` means that the endpoint fails every request, for example because it refuses connections. */
   recordHealth (endpoint: TrackedEndpoint | undefined, outcome: 'served' | 'failed' | 'down'): void {
     if (endpoint === undefined) return
@@ -245,11 +260,12 @@
     })
   }
 
-  /** Chooses an endpoint for the next attempt among those not tried yet; `undefined` when there is none. */
+  /** Chooses an endpoint for the next attempt among those not tried yet; `undefined` when there is none, or no connection for it is left. */
   place (input: CallInput, tried: ReadonlySet<string>): Placement | undefined {
     const isRepeated = tried.size > 0
     const placement = this.#placeAmong(input, tried, isRepeated)
-    if (isRepeated || placement === undefined) return placement
+    if (placement === undefined || !this.#mayConnect(placement, input.route)) return undefined
+    if (isRepeated) return placement
     const chosen = this.#avoidLateTrial(input, tried, placement)
     this.rollouts.countPlacement(chosen.endpoint.entry)
     return chosen
--- a/packages/gateway/src/node/peerServer.ts
+++ b/packages/gateway/src/node/peerServer.ts
@@ -1,5 +1,6 @@
 /** HTTP server for the messages of other routers: loan requests, clock comparisons, outcomes for rollouts and limits of endpoints. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { HeldMemory } from '@buckthorndrift/policy'
 import type * as z from 'zod/mini'
 import { limitMessageSchema, type LimitMessage, type LimitReply } from '../shared/limitMessages.ts'
 import { loanRequestSchema, type LoanReply, type LoanRequest } from '../shared/loans.ts'
@@ -8,11 +9,18 @@
 import { limitsPath } from './limitClient.ts'
 import { loansPath } from './loanClient.ts'
 import { outcomesPath } from './outcomeClient.ts'
+import { guardServer, type ServerGuardOptions } from './connectionGuard.ts'
 import { readBody } from './readBody.ts'
 
 const maxBodyBytes = 256 * 1024
+/** Times within which a message of another router has to arrive. */
+const peerTimeouts = { headersTimeout: 5000, requestTimeout: 5000, connectionsCheckingInterval: 1000 }
 
 export interface PeerServerOptions {
+  /** Limits of the connections and of the memory for messages. */
+  readonly guard: ServerGuardOptions
+  readonly memory: HeldMemory
+  readonly nowMs: () => number
   lend (request: LoanRequest): Promise<LoanReply>
   readClock (): ClockAnswer
   /** Takes a report of outcomes. */
@@ -38,10 +46,16 @@
   response.writeHead(status, { 'Content-Length': 0 }).end()
 }
 
-export function createPeerServer ({ lend, readClock, receiveOutcomes, receiveLimit }: PeerServerOptions): Server {
+export function createPeerServer ({ guard, memory, nowMs, lend, readClock, receiveOutcomes, receiveLimit }: PeerServerOptions): Server {
   async function handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const read = await readBody(request, maxBodyBytes)
+    const holder = memory.open(nowMs())
+    response.once('close', () => { holder.release() })
+    const read = await readBody(request, { maxBytes: maxBodyBytes, holder, nowMs })
     if (read.kind === 'aborted') return
+    if (read.kind === 'noMemory') {
+      response.destroy()
+      return
+    }
     const body = read.kind === 'read' ? read.body : undefined
     switch (request.url) {
       case clockPath:
@@ -70,7 +84,7 @@
         sendStatus(response, 404)
     }
   }
-  const server = createServer((request, response) => { void handle(request, response) })
+  const server = guardServer(createServer(peerTimeouts), (request, response) => { void handle(request, response) }, guard)
   server.on('connection', socket => { socket.on('error', () => { socket.destroy() }) })
   return server
 }
--- a/packages/gateway/src/node/startGateway.ts
+++ b/packages/gateway/src/node/startGateway.ts
@@ -4,7 +4,7 @@
 import type { AddressInfo } from 'node:net'
 import { performance } from 'node:perf_hooks'
 import type { Log, TimerService } from '@buckthorndrift/kernel'
-import { createHasher, OverloadGuard, type ClockReading } from '@buckthorndrift/policy'
+import { createHasher, HeldMemory, heldMemoryBytes, OverloadGuard, socketShares, type ClockReading } from '@buckthorndrift/policy'
 import type { Address, Deployment } from '../shared/deployment.ts'
 import type { Dialect } from '../shared/dialect.ts'
 import { ElapsedClock } from '../shared/elapsedClock.ts'
@@ -13,10 +13,12 @@
 import { CallerServer } from './callerServer.ts'
 import { CrashTracker } from './crashTracker.ts'
 import { EndpointLimits } from './endpointLimits.ts'
+import { DroppedMemory } from './garbage.ts'
 import { followFleet } from './followFleet.ts'
 import { createGatewayMetrics } from './gatewayMetrics.ts'
 import { GatewayState } from './gatewayState.ts'
 import { LoadMeter } from './loadMeter.ts'
+import { LimitReports } from './limitReports.ts'
 import { createLimitClient } from './limitClient.ts'
 import { createLoanClient } from './loanClient.ts'
 import { createOutcomeClient } from './outcomeClient.ts'
@@ -83,11 +85,20 @@
     openRequests: () => state.openRequests,
     resourceUse: () => guard.utilization,
     loopDelayMs: () => loopDelay.delayMs,
+    heldBytes: () => memory.usedBytes,
     storeAgeMs: () => store.responseAgeMs(),
     droppedLogLines: options.droppedLogLines
   })
   const store = meteredStore(options.store, metrics)
+  const budgetBytes = heldMemoryBytes(deployment.memoryMb)
+  const dropped = new DroppedMemory(budgetBytes)
+  const memory = new HeldMemory(budgetBytes, bytes => { dropped.record(bytes) })
+  const shares = socketShares(deployment.maxSockets)
+  const limitReports = new LimitReports(log, metrics)
   const peerServer = createPeerServer({
+    memory,
+    nowMs: () => clock.nowMs(),
+    guard: { maxConnections: shares.peers, limit: 'peerConnections', reports: limitReports },
     lend: request => ledger.lend(request),
     readClock: () => ({ node: deployment.nodeName, wallMs: timers.nowMs() }),
     receiveOutcomes: report => state.rollouts.receiveReport(report),
@@ -123,8 +134,8 @@
   const routers = new RouterDirectory({ store, timers, log, nodeName: deployment.nodeName, address: loans?.address, random })
   const limitClient = createLimitClient()
   const limits = new EndpointLimits({ clock, timers, log, hasher, nodeName: deployment.nodeName, routers, client: limitClient, endpoints: () => state.endpoints.all() })
-  const state: GatewayState = new GatewayState({ deployment, dialect, clock, log, metrics, ledger, crashes, guard, load, rollouts, limits, hasher, random })
-  const callers = new CallerServer(state)
+  const state: GatewayState = new GatewayState({ deployment, dialect, clock, log, metrics, ledger, crashes, guard, load, rollouts, limits, memory, limitReports, hasher, random })
+  const callers = new CallerServer(state, shares.callers)
   const loopDelay = new LoopDelay({ timers, log, openRequests: () => state.openRequests })
   const followers = followFleet({
     state,
@@ -149,11 +160,11 @@
     return isReadyNow
   }
 
-  const servers = [callers.server, createReadinessServer(dialect.readyPath, isReady), peerServer]
+  const servers = [callers.server, createReadinessServer(dialect.readyPath, isReady, { maxConnections: shares.readiness, limit: 'readinessConnections', reports: limitReports }), peerServer]
   const callersPort = await listen(servers[0]!, deployment.callers)
   const readinessPort = await listen(servers[1]!, deployment.readiness)
   if (deployment.metrics !== undefined) {
-    const metricsServer = createMetricsServer(metrics.registry)
+    const metricsServer = createMetricsServer(metrics.registry, { maxConnections: shares.metrics, limit: 'metricsConnections', reports: limitReports })
     servers.push(metricsServer)
     await listen(metricsServer, deployment.metrics)
   }
--- a/packages/gateway/src/node/trackedEndpoints.ts
+++ b/packages/gateway/src/node/trackedEndpoints.ts
@@ -2,7 +2,7 @@
 import type { Socket } from 'node:net'
 import { EndpointHealth, KnownLimit, PrefixHistory, type CallCandidate, type GenerationCandidate, type PrefixPart } from '@buckthorndrift/policy'
 import type { EndpointEntry } from '../shared/fleet.ts'
-import { EndpointConnections } from './endpointConnections.ts'
+import { EndpointConnections, type ConnectionQuota } from './endpointConnections.ts'
 
 /** Weight of a new sample in the moving averages. */
 const smoothingWeight = 0.15
@@ -34,9 +34,9 @@
   #excessMs = 0
   #excessUpdatedMs: number
 
-  constructor (entry: EndpointEntry, nowMs: number, onSocket: (socket: Socket) => void) {
+  constructor (entry: EndpointEntry, nowMs: number, onSocket: (socket: Socket) => void, quota: ConnectionQuota) {
     this.entry = entry
-    this.connections = new EndpointConnections(entry.address, onSocket)
+    this.connections = new EndpointConnections(entry.address, onSocket, quota)
     this.health = new EndpointHealth(nowMs)
     this.#excessUpdatedMs = nowMs
   }
@@ -86,10 +86,12 @@
 export class TrackedEndpoints {
   readonly #endpoints = new Map<string, TrackedEndpoint>()
   readonly #onSocket: (socket: Socket) => void
+  readonly #quota: ConnectionQuota
 
   /** `onSocket` is called with each socket that is opened to an endpoint. */
-  constructor (onSocket: (socket: Socket) => void) {
+  constructor (onSocket: (socket: Socket) => void, maxConnections: number) {
     this.#onSocket = onSocket
+    this.#quota = { limit: maxConnections, openCount: 0 }
   }
 
   /** Returns the state of an endpoint. A new incarnation or address starts with empty state. */
@@ -97,11 +99,18 @@
     const known = this.#endpoints.get(entry.id)
     if (known !== undefined && known.entry.address === entry.address && known.entry.startedAtMs === entry.startedAtMs) return known
     known?.connections.destroy()
-    const endpoint = new TrackedEndpoint(entry, nowMs, this.#onSocket)
+    const endpoint = new TrackedEndpoint(entry, nowMs, this.#onSocket, this.#quota)
     this.#endpoints.set(entry.id, endpoint)
     return endpoint
   }
 
+  /** Whether a request can be sent to the endpoint. An idle connection to another endpoint is closed if there would be too many. */
+  mayConnect ({ connections }: TrackedEndpoint, isRepeatable: boolean): boolean {
+    if (connections.mayAcquire(isRepeatable)) return true
+    for (const other of this.#endpoints.values()) if (other.connections.closeIdle()) return true
+    return false
+  }
+
   all (): Iterable<TrackedEndpoint> {
     return this.#endpoints.values()
   }
--- a/packages/gateway/src/shared/deployment.ts
+++ b/packages/gateway/src/shared/deployment.ts
@@ -36,4 +36,6 @@
   /** Processor share of the process in cores; `undefined` when it is not known. */
   readonly processorCores: number | undefined
   readonly memoryMb: number
+  /** Sockets that the process may have open at the same time; `undefined` when it is not known. */
+  readonly maxSockets: number | undefined
 }
