--- a/packages/gateway/src/node/gatewayMetrics.ts
+++ b/packages/gateway/src/node/gatewayMetrics.ts
@@ -20,6 +20,7 @@
   readonly budgetWaitMs: Histogram
   readonly storeCalls: Counter<'kind' | 'operation' | 'outcome'>
   readonly storeCallMs: Histogram<'operation'>
+  readonly callerLimits: Counter<'limit'>
   readonly configurationVersion: Gauge
 }
 
@@ -32,6 +33,8 @@
   storeAgeMs (): number
   /** Age of the engine loads that other routers told; `Infinity` without any. */
   sharedLoadAgeMs (): number
+  /** Memory of the budget that requests hold. */
+  heldBytes (): number
   droppedLogLines (): number
   /** Failure domains that operators have evacuated. */
   evacuatedDomains (): number
@@ -45,6 +48,7 @@
   loopDelayMs: zero,
   sharedLoadAgeMs: () => Infinity,
   storeAgeMs: zero,
+  heldBytes: zero,
   droppedLogLines: zero,
   evacuatedDomains: zero
 }
@@ -75,6 +79,7 @@
   gauge('shared_load_age_ms', 'age of the engine loads that other routers told, in ms; +Inf without any', sources.sharedLoadAgeMs)
   gauge('dropped_log_lines', 'log lines dropped since the last line that said so', sources.droppedLogLines)
   gauge('evacuated_failure_domains', 'failure domains whose endpoints get no new requests', sources.evacuatedDomains)
+  gauge('held_memory_bytes', 'memory that requests of callers hold, of the budget for it', sources.heldBytes)
   gauge('resident_memory_mb', 'resident memory in MB', () => process.memoryUsage.rss() / bytesPerMb)
   return {
     registry,
@@ -90,6 +95,7 @@
     budgetWaitMs: histogram('budget_wait_ms', 'time that a request waited for tokens of its budget in ms', []),
     storeCalls: counter('store_calls_total', 'calls to the object store by kind of object, operation and outcome', ['kind', 'operation', 'outcome']),
     storeCallMs: histogram('store_call_ms', 'time to the answer of the object store in ms, without watches', ['operation']),
+    callerLimits: counter('caller_limits_total', 'requests refused or connections closed because a limit was reached', ['limit']),
     configurationVersion: new Gauge({ name: `${prefix}configuration_version`, help: 'version of the configuration in force', registers })
   }
 }
--- a/packages/gateway/src/node/gatewayState.ts
+++ b/packages/gateway/src/node/gatewayState.ts
@@ -1,6 +1,6 @@
 /** State that all requests of a gateway share: its view of the fleet, and the routing decisions that depend on it. */
 import type { Log } from '@buckthorndrift/kernel'
-import { canEndBeforeStop, ColdEndpoints, KnownEvacuations, placeCall, placeGeneration, rankByRendezvous, RecentDurations, standingOf, type FailureReason, type Hasher, type OverloadGuard } from '@buckthorndrift/policy'
+import { canEndBeforeStop, ColdEndpoints, KnownEvacuations, placeCall, placeGeneration, rankByRendezvous, RecentDurations, socketShares, standingOf, type Hasher, type HeldMemory, type OverloadGuard } from '@buckthorndrift/policy'
 import { isRepeatable } from '../shared/attemptRules.ts'
 import type { Deployment } from '../shared/deployment.ts'
 import type { ResponseAttributes } from '../shared/call.ts'
@@ -13,6 +13,7 @@
 import type { RouteTable } from '../shared/routeTable.ts'
 import type { BudgetLedger } from './budgetLedger.ts'
 import type { CallInput } from './callInput.ts'
+import { reportOutcome, type CallOutcome } from './callOutcome.ts'
 import type { CallContent, CrashTracker } from './crashTracker.ts'
 import type { EndpointAttempt } from './endpointAttempt.ts'
 import type { ColdState, EndpointLimits } from './endpointLimits.ts'
@@ -20,6 +21,7 @@
 import type { Rollouts } from './rollouts.ts'
 import type { SharedEngineLoads } from './sharedEngineLoads.ts'
 import type { GatewayMetrics } from './gatewayMetrics.ts'
+import type { LimitReports } from './limitReports.ts'
 import type { LoadMeter } from './loadMeter.ts'
 
 /** The endpoint chosen for one attempt. */
@@ -38,22 +40,6 @@
   readonly isHome: boolean
 }
 
-export interface CallOutcome {
-  readonly outcome: 'finished' | 'failed' | 'refused' | 'abandoned'
-  readonly status: number
-  readonly reason: FailureReason | undefined
-  readonly detail: string
-  readonly endpointIds: readonly string[]
-  /** Number of endpoints that may have run the request. */
-  readonly runs: number
-  readonly events: number
-  /** Longest time between two events of a stream. */
-  readonly longestGapMs: number
-  readonly firstByteMs: number | undefined
-  /** Placement of the last attempt; `undefined` when nothing was sent. */
-  readonly placement: Placement | undefined
-}
-
 export interface GatewayStateOptions {
   readonly deployment: Deployment
   readonly dialect: Dialect
@@ -67,6 +53,8 @@
   readonly rollouts: Rollouts
   readonly limits: EndpointLimits
   readonly engineLoads: SharedEngineLoads
+  readonly memory: HeldMemory
+  readonly limitReports: LimitReports
   readonly hasher: Hasher
   readonly random: () => number
 }
@@ -97,6 +85,9 @@
   readonly rollouts: Rollouts
   readonly limits: EndpointLimits
   readonly engineLoads: SharedEngineLoads
+  /** Memory that requests of callers and messages of other routers hold. */
+  readonly memory: HeldMemory
+  readonly limitReports: LimitReports
   readonly #hasher: Hasher
   readonly #random: () => number
   readonly #retryQuotas = new Map<string, RetryQuota>()
@@ -120,8 +111,10 @@
     this.limits = options.limits
     this.evacuations = new KnownEvacuations({ isOffered: options.deployment.hasEvacuations })
     this.directory = new EndpointDirectory(this.evacuations)
-    this.endpoints = new TrackedEndpoints(socket => { this.load.track(socket) })
     this.engineLoads = options.engineLoads
+    this.endpoints = new TrackedEndpoints(socket => { this.load.track(socket) }, socketShares(this.deployment.maxSockets).endpoints)
+    this.memory = options.memory
+    this.limitReports = options.limitReports
     this.#hasher = options.hasher
     this.#random = options.random
   }
@@ -247,6 +240,13 @@
     return this.rollouts.eligible({ ...input, isRepeated: true }).filter(entry => this.#isAccepting(entry, nowMs))
   }
 
+  /** Whether a request can be sent to an endpoint within the connections that this router may have to endpoints. */
+  #mayConnect ({ endpoint }: Placement, route: Route): boolean {
+    const mayConnect = this.endpoints.mayConnect(endpoint, isRepeatable(route))
+    if (!mayConnect) this.limitReports.record('endpointConnections')
+    return mayConnect
+  }
+
   /** Records how an attempt at an endpoint ended. `down` means that the endpoint fails every request, for example because it refuses connections. */
   recordHealth (endpoint: TrackedEndpoint | undefined, outcome: 'served' | 'failed' | 'down'): void {
     if (endpoint === undefined) return
@@ -272,11 +272,11 @@
     })
   }
 
-  /** Chooses an endpoint for the next attempt among those not tried yet; `undefined` when there is none. */
+  /** Chooses an endpoint for the next attempt among those not tried yet; `undefined` when there is none, or no connection for it is left. */
   place (input: CallInput, tried: ReadonlySet<string>): Placement | undefined {
     const isRepeated = tried.size > 0
     const placement = this.#placeAmong(input, tried, isRepeated)
-    if (placement === undefined) return undefined
+    if (placement === undefined || !this.#mayConnect(placement, input.route)) return undefined
     const chosen = isRepeated ? placement : this.#avoidLateTrial(input, tried, placement)
     this.engineLoads.recordPlaced(chosen.uncachedTokens)
     if (isRepeated) return chosen
@@ -321,38 +321,9 @@
   }
 
   /** Records a finished request in the log and the metrics. */
-  recordOutcome (input: CallInput, result: CallOutcome): void {
-    const { route, service, organisation, attributes, configurationVersion } = input
+  recordOutcome (input: CallInput, outcome: CallOutcome): void {
     const nowMs = this.clock.nowMs()
-    const durationMs = Math.round(nowMs - input.arrivedMs)
-    if (result.outcome === 'finished') this.#durations.record(route.name, durationMs, nowMs)
-    this.metrics.requests.inc({ service: service.name, outcome: result.outcome })
-    this.metrics.durationMs.observe({ service: service.name }, durationMs)
-    if (result.firstByteMs !== undefined) this.metrics.firstByteMs.observe({ service: service.name }, result.firstByteMs)
-    if (result.events > 1) this.metrics.eventGapMs.observe({ service: service.name }, result.longestGapMs)
-    if (result.reason !== undefined) this.metrics.refusals.inc({ reason: result.reason })
-    const event = ({ finished: 'requestFinished', failed: 'requestFailed', refused: 'requestRefused', abandoned: 'requestAbandoned' } as const)[result.outcome]
-    this.log.event(event, {
-      attemptId: attributes.attemptId ?? '',
-      route: route.name,
-      service: service.name,
-      organisation: organisation?.name ?? '',
-      configurationVersion,
-      status: result.status,
-      reason: result.reason ?? '',
-      detail: result.detail,
-      endpoints: result.endpointIds.join(' '),
-      runs: result.runs,
-      events: result.events,
-      longestGapMs: Math.round(result.longestGapMs),
-      firstByteMs: Math.round(result.firstByteMs ?? -1),
-      sentAfterMs: Math.round(result.placement === undefined ? -1 : result.placement.placedMs - input.arrivedMs),
-      estimateMs: Math.round(result.placement?.estimateMs ?? -1),
-      uncachedTokens: result.placement?.uncachedTokens ?? 0,
-      isHome: result.placement?.isHome ?? false,
-      durationMs,
-      leftMs: Math.round(input.deadlineAtMs - nowMs),
-      promptTokens: attributes.generation?.promptTokens ?? 0
-    })
+    if (outcome.outcome === 'finished') this.#durations.record(input.route.name, Math.round(nowMs - input.arrivedMs), nowMs)
+    reportOutcome(this, input, outcome, nowMs)
   }
 }
--- a/packages/gateway/src/node/peerServer.ts
+++ b/packages/gateway/src/node/peerServer.ts
@@ -1,5 +1,6 @@
 /** HTTP server for the messages of other routers: loan requests, clock comparisons, outcomes for rollouts, limits of endpoints and loads of engines. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { HeldMemory } from '@buckthorndrift/policy'
 import type * as z from 'zod/mini'
 import { limitMessageSchema, type LimitMessage, type LimitReply } from '../shared/limitMessages.ts'
 import { loadMessageSchema, type LoadMessage, type LoadReply } from '../shared/loadMessages.ts'
@@ -11,12 +12,19 @@
 import { loadsPath } from './loadClient.ts'
 import { loansPath } from './loanClient.ts'
 import { outcomesPath } from './outcomeClient.ts'
+import { guardServer, type ServerGuardOptions } from './connectionGuard.ts'
 import { storeContactPath } from './storePeers.ts'
 import { readBody } from './readBody.ts'
 
 const maxBodyBytes = 256 * 1024
+/** Times within which a message of another router has to arrive. */
+const peerTimeouts = { headersTimeout: 5000, requestTimeout: 5000, connectionsCheckingInterval: 1000 }
 
 export interface PeerServerOptions {
+  /** Limits of the connections and of the memory for messages. */
+  readonly guard: ServerGuardOptions
+  readonly memory: HeldMemory
+  readonly nowMs: () => number
   lend (request: LoanRequest): Promise<LoanReply>
   readClock (): ClockAnswer
   /** Tells another router whether this one reaches the store. */
@@ -46,10 +54,16 @@
   response.writeHead(status, { 'Content-Length': 0 }).end()
 }
 
-export function createPeerServer ({ lend, readClock, storeContact, receiveOutcomes, receiveLimit, receiveLoad }: PeerServerOptions): Server {
+export function createPeerServer ({ guard, memory, nowMs, lend, readClock, storeContact, receiveOutcomes, receiveLimit, receiveLoad }: PeerServerOptions): Server {
   async function handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const read = await readBody(request, maxBodyBytes)
+    const holder = memory.open(nowMs())
+    response.once('close', () => { holder.release() })
+    const read = await readBody(request, { maxBytes: maxBodyBytes, holder, nowMs })
     if (read.kind === 'aborted') return
+    if (read.kind === 'noMemory') {
+      response.destroy()
+      return
+    }
     const body = read.kind === 'read' ? read.body : undefined
     switch (request.url) {
       case clockPath:
@@ -87,7 +101,7 @@
         sendStatus(response, 404)
     }
   }
-  const server = createServer((request, response) => { void handle(request, response) })
+  const server = guardServer(createServer(peerTimeouts), (request, response) => { void handle(request, response) }, guard)
   server.on('connection', socket => { socket.on('error', () => { socket.destroy() }) })
   return server
 }
