Read a ledger for the first time with a stale read

Change: the first read may be stale and costs a tenth; it names the lender, and a write based on it fails. Test: 'finds the lender of a budget with a stale read' fails before.

--- a/packages/gateway/src/node/__tests__/organisationLedger.test.ts
+++ b/packages/gateway/src/node/__tests__/organisationLedger.test.ts
@@ -172,4 +172,18 @@
     }
     expect(currentReads).toBeLessThanOrEqual(2)
   })
+
+  // When a fleet starts, each router needs the lender of each budget.
+  it('finds the lender of a budget with a stale read, and makes no current one', async () => {
+    const fake = new OneLedgerStore()
+    fake.object = { ...fake.object, value: { holders: { 'other.1': { grantedTokens: 500, committedTokens: 0 } }, lender: { holder: 'other.1', address: 'other:1' } } }
+    const reads: boolean[] = []
+    const store: FleetStore = { ...fake.store, read: (kind, name, options) => { reads.push(options?.mayBeStale === true); return fake.store.read(kind, name, options) } }
+    const client: LoanClient = {
+      requestLoan: (_address, { requests }) => Promise.resolve(Ok({ kind: 'lent', grantedTokens: requests.reduce((sum, { tokens }) => sum + tokens, 0), plannedTokens: 0, verdicts: requests.map(() => ({ kind: 'reserved' })), routers: 2 })),
+      close: () => Promise.resolve()
+    }
+    expect((await reserve(ledgerOn(store, { address: 'me:1', client }), 30)).kind).toBe('reserved')
+    expect(reads).toEqual([true])
+  })
 })
--- a/packages/gateway/src/node/ledgerObject.ts
+++ b/packages/gateway/src/node/ledgerObject.ts
@@ -87,6 +87,15 @@
     this.#apply(object)
   }
 
+  /** Reads the newest state. The first read may return a stale one, which costs less: it names the lender, and a write based on it fails. */
+  async load (): Promise<StoreFailure | undefined> {
+    if (this.hasState) return await this.read()
+    const result = await this.#options.store.read('budgets', this.#options.organisation, { mayBeStale: true })
+    if (result.isErr()) return result.error.kind === 'notFound' ? await this.read() : result.error
+    this.initialise(result.value)
+    return undefined
+  }
+
   /** Reads the newest state. */
   async read (): Promise<StoreFailure | undefined> {
     const result = await this.#options.store.read('budgets', this.#options.organisation)
--- a/packages/gateway/src/node/organisationLedger.ts
+++ b/packages/gateway/src/node/organisationLedger.ts
@@ -209,7 +209,7 @@
 
   /** Makes the next call to the store; returns `settled` when none is needed. */
   async #callStore (): Promise<StoreFailure | undefined | 'settled'> {
-    if (this.ledgerObject.revision === undefined) return await this.ledgerObject.read()
+    if (this.ledgerObject.revision === undefined) return await this.ledgerObject.load()
     if (this.ledgerObject.needsRepair) return await this.#writer.write(this.#slice.ownTokens)
     const input = this.#grantInput()
     const granted = this.ledgerObject.isSettling ? Math.min(this.#slice.ownTokens, planGrant(input)) : planGrant(input)
