--- a/packages/gateway/src/node/callerServer.ts
+++ b/packages/gateway/src/node/callerServer.ts
@@ -25,8 +25,6 @@
 const shutdownAcceptMs = 3000
 /** Memory that a request holds with its objects, and with the strings of each line of its head, beside their characters. */
 const [requestBytes, headerLineBytes] = [4096, 128]
-/** Error code of a connection whose requests are not read any more. */
-const pausedParserCode = 'HPE_PAUSED'
 const badRequestStatus = 400
 const timeoutStatus = 408
 /** Statuses of requests that cannot be read, by the error code of Node.js. */
@@ -216,7 +214,7 @@
   /** Answers a request that the HTTP parser gave up on, such as one whose headers take too long. Without this listener, Node.js answers it without a log line. */
   #rejectUnreadable (error: NodeJS.ErrnoException, socket: Duplex): void {
     // The parser may report several errors of one connection.
-    if (this.#unreadable.has(socket) || error.code === pausedParserCode) return
+    if (this.#unreadable.has(socket)) return
     this.#unreadable.add(socket)
     const status = unreadableStatuses[error.code ?? ''] ?? badRequestStatus
     const isAnswerable = socket.writable && error.code !== 'ECONNRESET' && !this.#answering.has(socket)
--- a/packages/gateway/src/node/connectionGuard.ts
+++ b/packages/gateway/src/node/connectionGuard.ts
@@ -13,9 +13,12 @@
 
 /** A connection of an HTTP server of Node.js, with the parser that reads its requests. */
 interface ParsedSocket extends Socket {
-  readonly parser?: { pause (): void } | null
+  readonly parser?: { onIncoming: () => number } | null
 }
 
+/** Result of the parser's callback after which the rest of the bytes is not parsed. */
+const stopParsing = 2
+
 export class ConnectionGuard {
   readonly #options: ServerGuardOptions
   readonly #order: ConnectionOrder<Socket>
@@ -41,7 +44,7 @@
     socket.destroy()
     // Otherwise the objects of all requests that were read at once would be created, and kept until the connection is closed.
     const { parser } = socket as ParsedSocket
-    parser?.pause()
+    if (parser != null) parser.onIncoming = () => stopParsing
     return false
   }
 
