Give back what pipelined requests hold, and keep room for small requests

Found by a review of the limits for callers.

Also: small requests may use 1.25 of the budget, so that they are served while large ones that run use it up; a request counts as running from the end of its body on, not a moment later; a piece that needs no memory evicts nobody; other routers get 15 in place of 10 % of the sockets (47 routers with four kinds of messages need 188 of 186); the connection quota is checked for the endpoint that is used in the end. The test of messages of loads gives the peer server its limits.

--- a/packages/gateway/src/node/__tests__/sharedEngineLoads.test.ts
+++ b/packages/gateway/src/node/__tests__/sharedEngineLoads.test.ts
@@ -1,5 +1,5 @@
 import { beforeEach, describe, expect, it } from 'vitest'
-import { createHasher, rankAggregators, type EngineLoad } from '@buckthorndrift/policy'
+import { createHasher, HeldMemory, rankAggregators, type EngineLoad } from '@buckthorndrift/policy'
 import { ManualTimers, silentLog } from '@buckthorndrift/kernel'
 import { createServer } from 'node:http'
 import type { AddressInfo } from 'node:net'
@@ -100,7 +100,7 @@
   })
 
   it('get an answer from a peer server, a failure for what cannot be read, and from a server that does not know them', async () => {
-    const server = createPeerServer({ receiveLoad: ({ from }: LoadMessage) => ({ ageMs: from === 'a' ? 0 : -1, routers: 15, loads: { e1: [1, 2, 3] } }) } as unknown as PeerServerOptions)
+    const server = createPeerServer({ guard: { maxConnections: 10, limit: 'peerConnections', reports: { record: () => {} } }, memory: new HeldMemory(1e6), nowMs: () => 0, receiveLoad: ({ from }: LoadMessage) => ({ ageMs: from === 'a' ? 0 : -1, routers: 15, loads: { e1: [1, 2, 3] } }) } as unknown as PeerServerOptions)
     const older = createServer((_, response) => { response.writeHead(404, { 'Content-Length': 0 }).end() })
     const client = createLoadClient()
     const [address, olderAddress] = await Promise.all([server, older].map(async each => {
--- a/packages/gateway/src/node/callerBody.ts
+++ b/packages/gateway/src/node/callerBody.ts
@@ -31,8 +31,6 @@
     const timer = setTimeout(() => { resolve({ kind: 'late' }) }, timeoutMs)
     void read.then(result => {
       clearTimeout(timer)
-      // The request may run from now on.
-      holder.protect()
       resolve(result)
     })
   })
--- a/packages/gateway/src/node/connectionGuard.ts
+++ b/packages/gateway/src/node/connectionGuard.ts
@@ -16,9 +16,16 @@
   readonly parser?: { onIncoming: () => number } | null
 }
 
-/** Result of the parser's callback after which the rest of the bytes is not parsed. */
+/** Result of the parser's callback, which Node.js does not document, after which the rest of the bytes is not parsed. */
 const stopParsing = 2
 
+/** Node.js emits no `close` of a response that waits behind another one when their connection ends. What the request holds is given back by that event. */
+function closeWithSocket (response: ServerResponse, socket: Socket): void {
+  const onSocketClose = (): void => { if (response.socket === null && !response.writableFinished) response.emit('close') }
+  socket.once('close', onSocketClose)
+  response.once('close', () => { socket.off('close', onSocketClose) })
+}
+
 export class ConnectionGuard {
   readonly #options: ServerGuardOptions
   readonly #order: ConnectionOrder<Socket>
@@ -37,6 +44,7 @@
   admit ({ socket }: IncomingMessage, response: ServerResponse): boolean {
     if (socket.destroyed) return false
     if (this.#order.beginRequest(socket)) {
+      closeWithSocket(response, socket)
       response.once('close', () => { this.#order.endRequest(socket, this.#read.has(response)) })
       return true
     }
--- a/packages/gateway/src/node/gatewayState.ts
+++ b/packages/gateway/src/node/gatewayState.ts
@@ -209,9 +209,11 @@
     const { coldBound } = this.deployment
     const untilMs = coldBound === undefined ? -Infinity : this.coldEndpoints.untilMs(id)
     if (coldBound === undefined || untilMs <= this.clock.nowMs()) return undefined
+    // Without a pace, the bound of a cold endpoint is its slack.
     return { ...coldBound, untilMs, requestsPerSecond: this.routeTable?.service(service)?.coldRequestsPerSecond ?? 0 }
   }
 
+  /** Counts an attempt at an endpoint in the metrics. */
   countAttempt ({ entry, limit }: TrackedEndpoint, service: string): void {
     this.metrics.attempts.inc({ service })
     if (limit.requestsPerSecond !== undefined) this.metrics.limitedAttempts.inc({ service })
@@ -276,8 +278,9 @@
   place (input: CallInput, tried: ReadonlySet<string>): Placement | undefined {
     const isRepeated = tried.size > 0
     const placement = this.#placeAmong(input, tried, isRepeated)
-    if (placement === undefined || !this.#mayConnect(placement, input.route)) return undefined
+    if (placement === undefined) return undefined
     const chosen = isRepeated ? placement : this.#avoidLateTrial(input, tried, placement)
+    if (!this.#mayConnect(chosen, input.route)) return undefined
     this.engineLoads.recordPlaced(chosen.uncachedTokens)
     if (isRepeated) return chosen
     this.rollouts.countPlacement(chosen.endpoint.entry)
--- a/packages/gateway/src/node/peerServer.ts
+++ b/packages/gateway/src/node/peerServer.ts
@@ -61,6 +61,7 @@
     const read = await readBody(request, { maxBytes: maxBodyBytes, holder, nowMs })
     if (read.kind === 'aborted') return
     if (read.kind === 'noMemory') {
+      guard.reports.record('memory')
       response.destroy()
       return
     }
@@ -101,7 +102,5 @@
         sendStatus(response, 404)
     }
   }
-  const server = guardServer(createServer(peerTimeouts), (request, response) => { void handle(request, response) }, guard)
-  server.on('connection', socket => { socket.on('error', () => { socket.destroy() }) })
-  return server
+  return guardServer(createServer(peerTimeouts), (request, response) => { void handle(request, response) }, guard)
 }
--- a/packages/gateway/src/node/readBody.ts
+++ b/packages/gateway/src/node/readBody.ts
@@ -105,7 +105,11 @@
     }
     holder.whenEvicted(() => { stop({ kind: 'noMemory' }) })
     request.on('data', onData)
-    request.on('end', () => { resolve({ kind: 'read', body: buffer.take() }) })
+    request.on('end', () => {
+      // The request may run from now on.
+      holder.protect()
+      resolve({ kind: 'read', body: buffer.take() })
+    })
     request.on('close', () => {
       buffer.clear()
       resolve({ kind: 'aborted' })
--- a/packages/policy/src/shared/callerLimits/connectionOrder.ts
+++ b/packages/policy/src/shared/callerLimits/connectionOrder.ts
@@ -1,6 +1,7 @@
 /**
  * Limits the open connections of a listener. When the limit is reached, a new connection takes the place of the one
- * that has been without a request longest, or, if there is none, of the one whose request has been arriving longest.
+ * that has been without a request longest, or, if there is none, of the one that was answered longest ago among those
+ * whose requests are still arriving.
  */
 
 /** Requests of one connection that may wait for their answers. A caller that sends more ahead does not read its answers. */
--- a/packages/policy/src/shared/callerLimits/heldMemory.ts
+++ b/packages/policy/src/shared/callerLimits/heldMemory.ts
@@ -1,5 +1,5 @@
 /**
- * Memory budget for what callers make a router hold: heads, bodies, and answers that are not read. It answers a crowd of
+ * Memory budget for what callers make a router hold: heads, bodies, and answers that are not read. It is designed for a crowd of
  * callers that each stay within the limits of a request and together exceed the memory of the VM.
  *
  * When the budget is used up, room is made by ending requests that have not run: first those that make no progress, the
@@ -9,8 +9,12 @@
 
 /** Part of the memory of the VM that requests may hold before they run. Node.js needs several times the bytes of a request until its garbage is collected. */
 const memoryShare = 0.12
-/** Memory that requests may hold once they run, relative to the budget, so that their answers have room while it is used up. */
+/** Limit of all held memory for a request that runs, relative to the budget, so that its answer has room while waiting requests use the budget up. */
 const protectedFactor = 1.5
+/** Limit of all held memory for a small request, relative to the budget, so that it is served while large ones that run use the budget up. */
+const smallFactor = 1.25
+/** Largest request that counts as small, relative to the budget. */
+const smallShare = 0.005
 const bytesPerMb = 1e6
 
 /** Memory budget of a process with this memory limit. */
@@ -74,9 +78,8 @@
   #tryHold (holding: Holding, bytes: number, nowMs: number): boolean {
     if (!this.#holdings.has(holding)) return false
     holding.lastProgressMs = nowMs
-    const limitBytes = holding.isProtected ? this.limitBytes * protectedFactor : this.limitBytes
-    const missingBytes = this.#usedBytes + bytes - limitBytes
-    if (missingBytes > 0 && !this.#makeRoom(holding, bytes, missingBytes, nowMs)) {
+    const missingBytes = this.#usedBytes + bytes - this.limitBytes * this.#limitFactor(holding, bytes)
+    if (bytes > 0 && missingBytes > 0 && !this.#makeRoom(holding, bytes, missingBytes, nowMs)) {
       this.#onDropped(holding.heldBytes + bytes)
       return false
     }
@@ -85,10 +88,16 @@
     return true
   }
 
+  #limitFactor ({ isProtected, heldBytes }: Holding, bytes: number): number {
+    if (isProtected) return protectedFactor
+    return heldBytes + bytes <= this.limitBytes * smallShare ? smallFactor : 1
+  }
+
   #makeRoom (holding: Holding, bytes: number, missingBytes: number, nowMs: number): boolean {
     const others = [...this.#holdings].filter(other => other !== holding && !other.isProtected && other.heldBytes > 0)
-    const stalled = others.filter(other => nowMs - other.lastProgressMs >= stalledAfterMs).sort((left, right) => left.lastProgressMs - right.lastProgressMs)
-    const larger = others.filter(other => !stalled.includes(other) && other.heldBytes > holding.heldBytes + bytes).sort((left, right) => right.heldBytes - left.heldBytes)
+    const isStalled = (other: Holding): boolean => nowMs - other.lastProgressMs >= stalledAfterMs
+    const stalled = others.filter(isStalled).sort((left, right) => left.lastProgressMs - right.lastProgressMs)
+    const larger = others.filter(other => !isStalled(other) && other.heldBytes > holding.heldBytes + bytes).sort((left, right) => right.heldBytes - left.heldBytes)
     const victims: Holding[] = []
     let freedBytes = 0
     for (const other of [...stalled, ...larger]) {
--- a/packages/policy/src/shared/callerLimits/socketShares.ts
+++ b/packages/policy/src/shared/callerLimits/socketShares.ts
@@ -8,9 +8,10 @@
   readonly metrics: number
 }
 
-const callerShare = 0.5
+const callerShare = 0.45
 const endpointShare = 0.3
-const peerShare = 0.1
+/** Every other router of a large fleet may have several connections, one for each kind of message. */
+const peerShare = 0.15
 const operationsShare = 0.02
 /** Enough for the check of readiness and a reader of the metrics in the smallest deployments. */
 const minOperationsSockets = 8
--- a/packages/policy/src/shared/engineLoad/sharedLoad.ts
+++ b/packages/policy/src/shared/engineLoad/sharedLoad.ts
@@ -13,7 +13,7 @@
   #known: OthersLoad | undefined
   #receivedMs = -Infinity
 
-  /** Takes an answer of the aggregator to a report that was sent at `sentMs`. Answers that overtook a newer one are dropped. */
+  /** Takes an answer of the aggregator to a report that was sent at `sentMs`. Answers that a later one has overtaken are dropped. */
   receive (others: OthersLoad, sentMs: number): void {
     if (sentMs < this.#receivedMs) return
     this.#known = others
