--- a/packages/gateway/src/node/callerServer.ts
+++ b/packages/gateway/src/node/callerServer.ts
@@ -15,7 +15,7 @@
 import { retryElsewhereMs, stopRefusal, stopTooSoonDetail } from './stopRefusal.ts'
 
 const maxHeaderBytes = 64 * 1024
-/** Size at which Node.js stops reading a head, relative to the limit of the configuration. Its count includes the path. */
+/** Size at which Node.js stops reading a head, relative to the limit of the configuration. Its count includes the path and the framing of each line. */
 const headerSizeFactor = 2
 /** Interval at which Node.js checks the header timeout of incomplete requests. */
 const timeoutCheckIntervalMs = 500
@@ -23,8 +23,10 @@
 const responseBufferBytes = 32 * 1024
 /** Time after the start of a graceful shutdown during which new requests are still accepted. Later requests on keep-alive connections are refused, so that callers retry at another router. */
 const shutdownAcceptMs = 3000
-/** Memory that a request holds with its objects, and with the strings of each line of its head, beside their characters. */
-const [requestBytes, headerLineBytes] = [4096, 128]
+/** Memory that a request holds with its objects. */
+const requestBytes = 4096
+/** Memory that the strings of a line of the head hold beside their characters. */
+const headerLineBytes = 128
 const badRequestStatus = 400
 const timeoutStatus = 408
 /** Statuses of requests that cannot be read, by the error code of Node.js. */
@@ -77,6 +79,7 @@
 
   /** Applies the limits of a new configuration. */
   configure (limits: CallerLimits): void {
+    // Node.js reads this property for each new connection.
     (this.server as Server & { maxHeaderSize: number }).maxHeaderSize = Math.min(maxHeaderBytes, limits.maxHeaderBytes * headerSizeFactor)
     this.server.headersTimeout = limits.headerTimeoutMs
     this.server.keepAliveTimeout = limits.idleTimeoutMs
--- a/packages/gateway/src/node/endpointLimits.ts
+++ b/packages/gateway/src/node/endpointLimits.ts
@@ -1,7 +1,7 @@
 /**
- * Limits that endpoints put on the requests of all routers together, and those of cold
- * endpoints: keeps this router to
- * its share of each limit, and exchanges what is known of the limits with other routers.
+ * Limits on the requests that an endpoint gets from all routers together, which it names
+ * itself or which follow from a cold start: keeps this router to its share of each limit,
+ * and exchanges what is known of named limits with other routers.
  */
 import type { Log, TimerService, Unsubscribe } from '@buckthorndrift/kernel'
 import { coldShare, limitIntervalMs, participantCount, rankByRendezvous, ReturnTimes, type ColdLimit, type Hasher, type LimitReport, type LimitShare } from '@buckthorndrift/policy'
--- a/packages/gateway/src/node/followFleet.ts
+++ b/packages/gateway/src/node/followFleet.ts
@@ -149,7 +149,7 @@
     onContact: (isInContact, detail) => { onContactChange('crashes', isInContact, detail) }
   }
 
-  /** Endpoints may have become cold shortly before their failure domain is taken back, and the entries that say so are on their way. Those of services that name no pace are never cold. */
+  /** Endpoints may have become cold shortly before their failure domain is taken back, and the entries that say so are on their way. Those of services that name no pace are not presumed to be cold. */
   function presumeCold (failureDomain: string): void {
     if (state.deployment.coldBound === undefined) return
     const untilMs = state.clock.nowMs() + state.deployment.heartbeatMs + entryDelayMs
--- a/packages/gateway/src/node/gatewayMetrics.ts
+++ b/packages/gateway/src/node/gatewayMetrics.ts
@@ -79,7 +79,7 @@
   gauge('shared_load_age_ms', 'age of the engine loads that other routers told, in ms; +Inf without any', sources.sharedLoadAgeMs)
   gauge('dropped_log_lines', 'log lines dropped since the last line that said so', sources.droppedLogLines)
   gauge('evacuated_failure_domains', 'failure domains whose endpoints get no new requests', sources.evacuatedDomains)
-  gauge('held_memory_bytes', 'memory that requests of callers hold, of the budget for it', sources.heldBytes)
+  gauge('held_memory_bytes', 'memory that requests of callers and messages of other routers hold, in bytes', sources.heldBytes)
   gauge('resident_memory_mb', 'resident memory in MB', () => process.memoryUsage.rss() / bytesPerMb)
   return {
     registry,
--- a/packages/gateway/src/node/sharedEngineLoads.ts
+++ b/packages/gateway/src/node/sharedEngineLoads.ts
@@ -23,7 +23,7 @@
 const longPromptTokens = 5000
 /** Shortest time between two exchanges. */
 const minIntervalMs = 50
-/** Time after this router's last request at an engine for which it goes on to ask for the others' loads. */
+/** Time after this router last chose an engine for which it goes on to ask for the others' loads. */
 const idleAfterMs = 1000
 /** Time for which a router that failed to sum up loads is passed by. */
 const passByMs = 5000
@@ -49,16 +49,16 @@
     this.#stopExchanges()
   }
 
-  /** Load of the other routers at an engine to which a request may be sent now; `undefined` without recent news. */
+  /** Load of the other routers at an engine to which a request may be sent now; `undefined` without recent news. Keeps the exchange going. */
   othersAt (endpoint: string, tokensPerMs: number): EngineLoad | undefined {
     const nowMs = this.#nowMs()
     this.#lastUseMs = nowMs
     return this.#shared.at(endpoint, tokensPerMs, nowMs)
   }
 
-  /** Tells the others of a long prompt, as soon as the caller of this function has sent it. */
-  recordPlaced (promptTokens: number): void {
-    if (promptTokens < longPromptTokens || this.#nowMs() - this.#askedMs < minIntervalMs) return
+  /** Tells the others of a prompt with many tokens to read, as soon as the caller of this function has sent it. */
+  recordPlaced (uncachedTokens: number): void {
+    if (uncachedTokens < longPromptTokens || this.#nowMs() - this.#askedMs < minIntervalMs) return
     queueMicrotask(() => { void this.#exchange() })
   }
 
--- a/packages/kernel/src/shared/events/gatewayEvents.ts
+++ b/packages/kernel/src/shared/events/gatewayEvents.ts
@@ -35,7 +35,7 @@
   requestFinished: { number: 1833, level: 'info', message: 'request was answered', action: 'none' },
   requestFailed: { number: 1834, level: 'warn', message: 'request failed after it was sent to an endpoint', action: 'The field detail says what the endpoint or its connection did.' },
   requestAbandoned: { number: 1835, level: 'info', message: 'caller disconnected before the end of the response', action: 'none' },
-  requestUnreadable: { number: 1837, level: 'info', message: 'a request could not be read; its connection is closed', action: 'With cause ERR_HTTP_REQUEST_TIMEOUT the headers took longer than the limit of the configuration.' },
+  requestUnreadable: { number: 1837, level: 'info', message: 'a request could not be read; its connection is closed', action: 'With cause ERR_HTTP_REQUEST_TIMEOUT the headers took longer than the limit of the configuration; with a cause that names the body, it was not complete at the deadline.' },
   contentCrashedEndpoint: { number: 1836, level: 'warn', message: 'an endpoint crashed while it ran a request', action: 'Check the log of the endpoint. After two crashes requests with the same content are refused, after three those with the same part of a prompt.' },
   promptPartSuspected: { number: 1838, level: 'warn', message: 'endpoints crashed whenever they ran requests with this part of the prompt; such requests are refused', action: 'Find out which caller sends the part. Removing the objects of the crashes from the store lifts the suspicion.' },
   crashSuspicionCleared: { number: 1839, level: 'info', message: 'requests ran soundly that other routers may suspect of crashing endpoints; this is stored for all routers', action: 'none' },
--- a/packages/policy/src/shared/places/coldEndpoints.ts
+++ b/packages/policy/src/shared/places/coldEndpoints.ts
@@ -11,7 +11,7 @@
   readonly coldRemainingMs: number
 }
 
-interface ColdState {
+interface KnownReport {
   readonly report: ColdReport
   readonly untilMs: number
 }
@@ -23,7 +23,7 @@
 }
 
 export class ColdEndpoints {
-  readonly #states = new Map<string, ColdState>()
+  readonly #states = new Map<string, KnownReport>()
   /** Time until which endpoints may be cold without an entry that says so. */
   readonly #presumedUntilMs = new Map<string, number>()
 
