--- a/packages/gateway/src/node/gatewayState.ts
+++ b/packages/gateway/src/node/gatewayState.ts
@@ -209,7 +209,7 @@
     const { coldBound } = this.deployment
     const untilMs = coldBound === undefined ? -Infinity : this.coldEndpoints.untilMs(id)
     if (coldBound === undefined || untilMs <= this.clock.nowMs()) return undefined
-    // Without a pace, the bound of a cold endpoint is its slack.
+    // An endpoint whose service names no pace gets as few requests as under the lowest limit.
     return { ...coldBound, untilMs, requestsPerSecond: this.routeTable?.service(service)?.coldRequestsPerSecond ?? 0 }
   }
 
